--- /dev/null
+++ b/cmd/cardamomhatch/main.go
@@ -0,0 +1,21 @@
+// Command cardamomhatch runs and operates an overload control layer for
+// service call graphs.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+// commands is the command line. Each subcommand has a Run method.
+type commands struct {
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c,
+		kong.Name("cardamomhatch"),
+		kong.Description("Overload control for service call graphs."),
+		kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
