--- /dev/null
+++ b/internal/engine/wire.go
@@ -0,0 +1,197 @@
+package engine
+
+import (
+	"crypto/subtle"
+	"encoding/hex"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// Headers between nodes, and between a node and its upstream. All of them are
+// removed from what callers send and receive.
+const (
+	HeaderPrefix    = "Cardamomhatch-"
+	HopHeader       = "Cardamomhatch-Hop"
+	LoadHeader      = "Cardamomhatch-Load"
+	CallHeader      = "Cardamomhatch-Call"
+	WorkspaceHeader = "Cardamomhatch-Workspace"
+	TimeoutHeader   = "Cardamomhatch-Timeout-Ms"
+	TicketHeader    = "Cardamomhatch-Ticket"
+	// ShedHeader is set by an upstream on a 503 to state that it did not run
+	// the call.
+	ShedHeader = "Cardamomhatch-Shed"
+)
+
+// Token names a running call towards the local upstream. It is random, so that
+// an upstream can refer only to calls that it was given.
+type Token [16]byte
+
+// String returns the token as it travels in CallHeader.
+func (t Token) String() string { return hex.EncodeToString(t[:]) }
+
+// Equal compares in constant time.
+func (t Token) Equal(other Token) bool { return subtle.ConstantTimeCompare(t[:], other[:]) == 1 }
+
+// ParseToken is the inverse of Token.String.
+func ParseToken(s string) (Token, error) {
+	var t Token
+	if len(s) != hex.EncodedLen(len(t)) {
+		return t, errors.Errorf("call token has %d characters, want %d", len(s), hex.EncodedLen(len(t)))
+	}
+	if _, err := hex.Decode(t[:], []byte(s)); err != nil {
+		return t, errors.Wrap(err, "call token")
+	}
+	return t, nil
+}
+
+// Hop is what travels with a call from node to node.
+type Hop struct {
+	Action     mesh.ActionID
+	Workspace  mesh.Workspace
+	Service    mesh.Service
+	Class      mesh.Class
+	Remaining  time.Duration // time left until the deadline, when sent
+	Allowance  int           // retries lent to the receiver
+	Attempt    int
+	Depth      int
+	Resumed    bool // an earlier call of the action was admitted already
+	Idempotent bool
+	Ticket     string // set if the receiver is to run the call as ticket owner
+	Wall       int64  // hybrid logical clock of the sender, nanoseconds
+	Logical    uint32
+}
+
+// Encode returns the value of HopHeader.
+func (h Hop) Encode() string {
+	v := url.Values{}
+	v.Set("a", strconv.FormatUint(uint64(h.Action), 16))
+	v.Set("w", string(h.Workspace))
+	v.Set("s", string(h.Service))
+	v.Set("c", strconv.Itoa(int(h.Class)))
+	v.Set("r", strconv.FormatInt(h.Remaining.Microseconds(), 10))
+	v.Set("l", strconv.Itoa(h.Allowance))
+	v.Set("n", strconv.Itoa(h.Attempt))
+	v.Set("d", strconv.Itoa(h.Depth))
+	v.Set("m", flag(h.Resumed))
+	v.Set("i", flag(h.Idempotent))
+	v.Set("t", h.Ticket)
+	v.Set("p", strconv.FormatInt(h.Wall, 16))
+	v.Set("q", strconv.FormatUint(uint64(h.Logical), 16))
+	return v.Encode()
+}
+
+func flag(b bool) string {
+	if b {
+		return "1"
+	}
+	return "0"
+}
+
+// ParseHop is the inverse of Hop.Encode. The error names the bad field.
+func ParseHop(s string) (Hop, error) {
+	v, err := url.ParseQuery(s)
+	if err != nil {
+		return Hop{}, errors.Wrap(err, "hop header")
+	}
+	p := fieldParser{values: v}
+	h := Hop{
+		Action:     mesh.ActionID(p.unsigned("a", 16, 64)),
+		Workspace:  mesh.Workspace(v.Get("w")),
+		Service:    mesh.Service(v.Get("s")),
+		Class:      mesh.Class(p.between("c", mesh.NumClasses-1)),
+		Remaining:  time.Duration(p.between("r", int(maxRemaining.Microseconds()))) * time.Microsecond,
+		Allowance:  p.between("l", maxAllowance),
+		Attempt:    p.between("n", maxAttempt),
+		Depth:      p.between("d", maxDepth),
+		Resumed:    v.Get("m") == "1",
+		Idempotent: v.Get("i") == "1",
+		Ticket:     v.Get("t"),
+		Wall:       int64(p.unsigned("p", 16, 63)),
+		Logical:    uint32(p.unsigned("q", 16, 32)),
+	}
+	return h, p.err
+}
+
+// Limits on fields of a hop, so that a faulty peer cannot overflow sums.
+const (
+	maxRemaining = time.Hour
+	maxAllowance = 1 << 10
+	maxAttempt   = 1 << 10
+	maxDepth     = 1 << 8
+)
+
+type fieldParser struct {
+	values url.Values
+	err    error
+}
+
+func (p *fieldParser) unsigned(name string, base, bits int) uint64 {
+	n, err := strconv.ParseUint(p.values.Get(name), base, bits)
+	if err != nil && p.err == nil {
+		p.err = errors.Wrapf(err, "field %q", name)
+	}
+	return n
+}
+
+func (p *fieldParser) between(name string, limit int) int {
+	n := p.unsigned(name, 10, 63)
+	if n > uint64(limit) && p.err == nil {
+		p.err = errors.Errorf("field %q is %d, above %d", name, n, limit)
+	}
+	return int(min(n, uint64(limit)))
+}
+
+// Load is the report of a serving node on an answer.
+type Load struct {
+	InFlight  int
+	Limit     int
+	QueueWait time.Duration
+	Cut       mesh.Cut
+	Returned  int // retries lent with the call and not spent
+}
+
+// Encode returns the value of LoadHeader.
+func (l Load) Encode() string {
+	parts := []string{
+		strconv.Itoa(l.InFlight),
+		strconv.Itoa(l.Limit),
+		strconv.FormatInt(l.QueueWait.Microseconds(), 10),
+		strconv.Itoa(int(l.Cut.Class)),
+		strconv.Itoa(int(l.Cut.Share)),
+		strconv.Itoa(l.Returned),
+	}
+	return strings.Join(parts, " ")
+}
+
+// ParseLoad is the inverse of Load.Encode.
+func ParseLoad(s string) (Load, error) {
+	const count = 6
+	parts := strings.Split(s, " ")
+	if len(parts) != count {
+		return Load{}, errors.Errorf("load header has %d fields, want %d", len(parts), count)
+	}
+	var n [count]int
+	for i, part := range parts {
+		value, err := strconv.ParseUint(part, 10, 31)
+		if err != nil {
+			return Load{}, errors.Wrapf(err, "load header, field %d", i)
+		}
+		n[i] = int(value)
+	}
+	if n[3] >= mesh.NumClasses || n[4] > mesh.CutScale || n[5] > maxAllowance {
+		return Load{}, errors.Errorf("load header %q is out of range", s)
+	}
+	return Load{
+		InFlight:  n[0],
+		Limit:     n[1],
+		QueueWait: time.Duration(n[2]) * time.Microsecond,
+		Cut:       mesh.Cut{Class: mesh.Class(n[3]), Share: uint16(n[4])},
+		Returned:  n[5],
+	}, nil
+}
