--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,105 @@
+// Package ticket makes a non-idempotent action run at most once across retries
+// by the caller. A ticket names the one node whose Book may run it; the Book
+// keeps a marker of every running or finished ticket until the ticket expires,
+// stores answers within bounds for replay, and in a planned stop hands all of
+// this over to exactly one successor.
+//
+// Times inside a ticket are on the monotonic clock of the node that issued it
+// and mean nothing elsewhere. A handover therefore carries the owner's clock,
+// and the successor continues it as an interval: the fast edge (the clock plus
+// Config.HandoverDelay, advancing faster than real time by Config.DriftPerMille)
+// decides whether a ticket has expired, the slow edge (the clock as sent,
+// advancing slower by the same amount) decides whether a marker may be dropped.
+// Drift and message delay can therefore only make a ticket expire early; a
+// marker always outlasts its ticket, however long the handover was under way.
+package ticket
+
+import (
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// Defaults of Config.
+const (
+	DefaultTTL            = 10 * time.Minute
+	DefaultMaxMarkers     = 1 << 18
+	DefaultMaxStoredBytes = 32 << 20
+	DefaultMaxAnswerBytes = 256 << 10
+	DefaultMaxWaiting     = 64
+	DefaultHandoverBytes  = 8 << 20
+	DefaultHandoverDelay  = 5 * time.Second
+	DefaultDriftPerMille  = 10
+)
+
+// Config bounds a Book. A zero field takes its default.
+type Config struct {
+	TTL            time.Duration // life of a ticket from its issue
+	MaxMarkers     int           // running and finished tickets held
+	MaxStoredBytes int           // all stored answers together
+	MaxAnswerBytes int           // one stored answer
+	MaxWaiting     int           // calls that wait for one running ticket
+	HandoverBytes  int           // stored answers in one handover, newest first
+	HandoverDelay  time.Duration // assumed delay of a handover message
+	DriftPerMille  int           // largest difference in rate of two clocks
+}
+
+// Answer is a whole stored answer.
+type Answer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// Kind says what a call with a ticket must do next.
+type Kind uint8
+
+// The kinds of Beginning.
+const (
+	Fresh     Kind = iota // run it, then report Finish, Failed or NotRun
+	Running               // the call waits; Finish, Failed or NotRun names it
+	Finished              // replay Beginning.Answer
+	Elsewhere             // forward the call to Beginning.Node
+	Rejected              // answer with Beginning.Refusal
+)
+
+// Beginning is the decision on a call that presents a ticket.
+type Beginning struct {
+	Kind    Kind
+	Answer  Answer          // Finished
+	Node    mesh.NodeID     // Elsewhere
+	Refusal outcome.Refusal // Rejected
+}
+
+// Marker is one finished ticket in a handover.
+type Marker struct {
+	Sequence  uint64
+	Issued    time.Duration // owner's clock
+	Execution outcome.Execution
+	Reason    outcome.Reason
+	Answer    *Answer // nil if the answer is not stored
+}
+
+// Estate is the right to accept the tickets of one owner.
+type Estate struct {
+	Owner    mesh.NodeID
+	Key      [32]byte
+	Fast     time.Duration // owner's clock at the seal, upper estimate
+	Slow     time.Duration // owner's clock at the seal, lower estimate
+	SealedAt time.Duration // owner's clock when the owner itself stopped issuing
+	Markers  []Marker
+}
+
+// Handover moves every estate of a stopping node to one successor. It is a
+// control message and contains MAC keys, so it travels only between
+// authenticated nodes.
+type Handover struct {
+	From, To mesh.NodeID
+	Estates  []Estate
+}
+
+// MessageName implements mesh.Message.
+func (Handover) MessageName() string { return "ticket-handover" }
+
+func init() { mesh.RegisterMessage(Handover{}) }
