--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -4,16 +4,18 @@
 package retry
 
 import (
+	"strings"
 	"time"
 
 	"cardamomhatch/internal/outcome"
 )
 
-// Attempt is everything a decision on one ended attempt depends on.
+// Attempt is everything that the decision on one ended attempt depends on.
 type Attempt struct {
-	Refusal    outcome.Refusal // how the attempt ended; Reason None means a whole answer
-	Idempotent bool            // declared on the route
-	Started    bool            // part of the answer has reached the caller
+	Refusal    outcome.Refusal   // how the attempt ended; Reason None means a whole answer
+	Earlier    outcome.Execution // the highest Execution of the earlier attempts of this call
+	Idempotent bool              // declared on the route
+	Started    bool              // part of the answer has reached the caller
 	Now        time.Duration
 	Deadline   time.Duration // same clock as Now; zero means none
 	Expected   time.Duration // expected latency of another attempt
@@ -21,9 +23,90 @@
 	Ratio      *Ratio        // retry ratio of the edge
 }
 
-// Verdict is the decision: Retry after Wait, or end with Final.
+// Verdict is the decision: Retry after Wait, or end with Final. Final is set in
+// both cases, and its Execution covers all attempts so far, so a retry passes it
+// on as Earlier.
 type Verdict struct {
 	Retry bool
 	Wait  time.Duration
 	Final outcome.Refusal
 }
+
+// overloadWait delays a retry after a refusal for load, so that the retry does
+// not meet the same full queues.
+const overloadWait = 10 * time.Millisecond
+
+// Decide returns whether an ended attempt is retried, and its final outcome if
+// it is not. A retry takes one unit from the pool and from the ratio.
+func Decide(a Attempt) Verdict {
+	final := a.Refusal
+	if final.Reason == outcome.None {
+		return Verdict{Final: final}
+	}
+	final.Execution = max(final.Execution, a.Earlier)
+	if !a.safe() || !helps(final.Reason) {
+		return Verdict{Final: final}
+	}
+	wait := waitBefore(final.Reason)
+	if a.Deadline != 0 && a.Now+wait+a.Expected >= a.Deadline {
+		return Verdict{Final: final}
+	}
+	if a.Pool.Left() == 0 || !a.Ratio.Allow(a.Now) {
+		return Verdict{Final: exhausted(final)}
+	}
+	a.Pool.Spend()
+	return Verdict{Retry: true, Wait: wait, Final: final}
+}
+
+// safe reports whether a further attempt can have no second effect. Only the
+// last attempt is asked: an earlier one that may have run was retried only
+// because the route is idempotent.
+func (a *Attempt) safe() bool {
+	if a.Started {
+		return false
+	}
+	return a.Idempotent || (a.Refusal.Execution == outcome.NotRun && a.Earlier == outcome.NotRun)
+}
+
+// helps reports whether another attempt at another node can end differently.
+func helps(r outcome.Reason) bool {
+	switch r {
+	case outcome.Overloaded, outcome.QueueTimeout, outcome.NoUpstream, outcome.Draining,
+		outcome.ConnectFailed, outcome.AnswerCut, outcome.UpstreamFailed, outcome.PeerLost:
+		return true
+	}
+	return false
+}
+
+func waitBefore(r outcome.Reason) time.Duration {
+	switch r {
+	case outcome.Overloaded, outcome.QueueTimeout, outcome.NoUpstream:
+		return overloadWait
+	}
+	return 0
+}
+
+// exhausted changes the reason, so that no layer above retries the same failure
+// again, and keeps the cause as the detail.
+func exhausted(r outcome.Refusal) outcome.Refusal {
+	if r.Detail == "" {
+		r.Detail = lastAttempt[r.Reason]
+	}
+	r.Reason = outcome.RetriesExhausted
+	return r
+}
+
+// lastAttempt holds the details of exhausted; built once, so that Decide does
+// not allocate.
+var lastAttempt = buildLastAttempt()
+
+func buildLastAttempt() [256]string {
+	var details [256]string
+	for i := range details {
+		name := outcome.Reason(i).String()
+		if !strings.HasPrefix(name, "reason(") {
+			details[i] = "last attempt: " + name
+		}
+	}
+	return details
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,229 @@
+package retry
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+	"unsafe"
+
+	"pgregory.net/rapid"
+
+	"cardamomhatch/internal/outcome"
+)
+
+// TestMain fixes the seed of the property tests, so that every run has the same
+// verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const layerTries = 3 // retries that each layer makes in the storm model
+
+// storm executes a chain in which the leaf always fails and every layer retries,
+// and returns the leaf's executions and the calls on all edges. The second
+// result of a layer is what its answer reports unspent.
+func storm(depth, lent int, ratios []Ratio, calls *int) (leaf, unspent int) {
+	*calls++
+	if depth == 0 {
+		return 1, lent
+	}
+	pool := NewPool(lent)
+	earlier := outcome.NotRun
+	ratio := &ratios[depth-1]
+	ratio.Sent(0)
+	for try := 0; ; try++ {
+		part := pool.Lend(pool.Part(1))
+		n, back := storm(depth-1, part, ratios, calls)
+		leaf += n
+		pool.Return(back)
+		reason := outcome.UpstreamFailed
+		v := Decide(Attempt{Refusal: outcome.Refusal{Execution: outcome.RanFailed, Reason: reason},
+			Earlier: earlier, Idempotent: true, Pool: &pool, Ratio: ratio})
+		if !v.Retry || try == layerTries {
+			return leaf, pool.Left()
+		}
+		earlier = v.Final.Execution
+	}
+}
+
+// Guards against retries of the layers multiplying each other: without an
+// allowance the leaf runs (1+layerTries)^depth times.
+func TestRetryStormIsBounded(t *testing.T) {
+	const allowance = 3
+	for _, depth := range []int{1, 5, 15} {
+		baseline := 1
+		for range depth {
+			baseline *= 1 + layerTries
+		}
+		calls := 0
+		ratios := make([]Ratio, depth)
+		leaf, _ := storm(depth, allowance, ratios, &calls)
+		t.Logf("depth %d: leaf executions per action %d (baseline %d), calls beyond the declared graph %d",
+			depth, leaf, baseline, calls-(depth+1))
+		if leaf > 1+allowance || calls-(depth+1) > 1+allowance {
+			t.Fatalf("depth %d: %d leaf executions, %d calls beyond the graph, want at most %d",
+				depth, leaf, calls-(depth+1), 1+allowance)
+		}
+		const actions = 10_000
+		sum := 0
+		for range actions {
+			n, _ := storm(depth, allowance, ratios, &calls)
+			if n > 1+allowance {
+				t.Fatalf("depth %d: %d leaf executions of one action", depth, n)
+			}
+			sum += n
+		}
+		t.Logf("depth %d: %.3f leaf executions per action over %d actions on shared edges", depth, float64(sum)/actions, actions)
+	}
+}
+
+// tree runs a random tree of parallel children with random failures and lost
+// reports, and returns the retries made and the unspent units that it reports.
+func tree(t *rapid.T, depth, lent int) (retries, unspent int) {
+	pool := NewPool(lent)
+	children := rapid.IntRange(0, 4).Draw(t, "children")
+	if depth == 0 {
+		children = 0
+	}
+	declared := rapid.IntRange(0, 4).Draw(t, "declared")
+	parts := make([]int, 0, children)
+	for i := range children {
+		free, ok := pool.Child(1, declared)
+		if free != (i < declared) {
+			t.Fatalf("call %d on an edge with %d declared: free is %v", i, declared, free)
+		}
+		if !ok {
+			break
+		}
+		if !free {
+			retries++
+		}
+		parts = append(parts, pool.Lend(pool.Part(children-i)))
+	}
+	for _, part := range parts {
+		made, back := tree(t, depth-1, part)
+		retries += made
+		if back > part {
+			t.Fatalf("a child with %d units reports %d unspent", part, back)
+		}
+		if !rapid.Bool().Draw(t, "report lost") {
+			pool.Return(back)
+		}
+	}
+	for rapid.Bool().Draw(t, "fails") && pool.Spend() {
+		retries++
+	}
+	return retries, pool.Left()
+}
+
+// Guards against a unit that two parallel children both hold, and against a lost
+// report that gives its units back.
+func TestTreeSpendsAtMostItsAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		allowance := rapid.IntRange(0, 6).Draw(t, "allowance")
+		retries, unspent := tree(t, 4, allowance)
+		if retries+unspent > allowance {
+			t.Fatalf("allowance %d: %d retries and %d unspent", allowance, retries, unspent)
+		}
+	})
+}
+
+// Guards against retries above a tenth of the calls plus the reserve and its
+// refill in any window.
+func TestRatioBoundsRetriesInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type point struct {
+			at             time.Duration
+			calls, retries int
+		}
+		var r Ratio
+		points := []point{{}}
+		now, calls, retries := time.Duration(0), 0, 0
+		for range 200 {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "gap ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "retry") {
+				if r.Allow(now) {
+					retries++
+				}
+			} else {
+				r.Sent(now)
+				calls++
+			}
+			points = append(points, point{now, calls, retries})
+		}
+		for i, from := range points {
+			for _, to := range points[i:] {
+				bound := ratioShare*float64(to.calls-from.calls) + ratioReserve + ratioRefill*(to.at-from.at).Seconds()
+				if float64(to.retries-from.retries) > bound+1e-6 {
+					t.Fatalf("%d retries from %v to %v, bound %.2f", to.retries-from.retries, from.at, to.at, bound)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a second execution of a call that may have run, retries that
+// cannot end in time or cannot help, and a final "not run" that hides an earlier
+// attempt that may have run.
+func TestDecide(t *testing.T) {
+	refusal := func(e outcome.Execution, r outcome.Reason) outcome.Refusal {
+		return outcome.Refusal{Execution: e, Reason: r}
+	}
+	lost, busy := refusal(outcome.MayHaveRun, outcome.PeerLost), refusal(outcome.NotRun, outcome.Overloaded)
+	cases := []struct {
+		name      string
+		a         Attempt
+		allowance int
+		retry     bool
+		final     outcome.Refusal
+	}{
+		{"not run", Attempt{Refusal: busy}, 1, true, busy},
+		{"may have run, not idempotent", Attempt{Refusal: lost}, 1, false, lost},
+		{"may have run, idempotent", Attempt{Refusal: lost, Idempotent: true}, 1, true, lost},
+		{"answer started", Attempt{Refusal: lost, Idempotent: true, Started: true}, 1, false, lost},
+		{"too late", Attempt{Refusal: busy, Now: 90 * time.Millisecond, Deadline: 100 * time.Millisecond, Expected: 5 * time.Millisecond}, 1, false, busy},
+		{"no allowance", Attempt{Refusal: busy}, 0, false, outcome.Refusal{Reason: outcome.RetriesExhausted, Detail: "last attempt: overloaded"}},
+		{"withdrawn key", Attempt{Refusal: refusal(outcome.NotRun, outcome.KeyWithdrawn)}, 1, false, refusal(outcome.NotRun, outcome.KeyWithdrawn)},
+		{"exhausted below", Attempt{Refusal: refusal(outcome.NotRun, outcome.RetriesExhausted)}, 1, false, refusal(outcome.NotRun, outcome.RetriesExhausted)},
+		{"earlier attempt may have run", Attempt{Refusal: busy, Earlier: outcome.MayHaveRun}, 1, false, refusal(outcome.MayHaveRun, outcome.Overloaded)},
+		{"whole answer", Attempt{Refusal: refusal(outcome.Ran, outcome.None)}, 1, false, refusal(outcome.Ran, outcome.None)},
+	}
+	for _, c := range cases {
+		pool := NewPool(c.allowance)
+		c.a.Pool, c.a.Ratio = &pool, &Ratio{}
+		v := Decide(c.a)
+		if v.Retry != c.retry || v.Final != c.final {
+			t.Errorf("%s: got %+v", c.name, v)
+		}
+		if spent := c.allowance - pool.Left(); (spent == 1) != c.retry {
+			t.Errorf("%s: spent %d units", c.name, spent)
+		}
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	b.ReportAllocs()
+	var ratio Ratio
+	for b.Loop() {
+		pool := NewPool(3)
+		ratio.Sent(0)
+		v := Decide(Attempt{Refusal: outcome.Refusal{Reason: outcome.Overloaded}, Pool: &pool, Ratio: &ratio})
+		if v.Wait < 0 {
+			b.Fatal("negative wait")
+		}
+	}
+	b.ReportMetric(float64(unsafe.Sizeof(Pool{})), "B/action")
+	b.ReportMetric(float64(unsafe.Sizeof(Ratio{})), "B/edge")
+}
+
+func ExamplePool_Part() {
+	pool := NewPool(3)
+	fmt.Println(pool.Lend(pool.Part(2)), pool.Lend(pool.Part(1)))
+	// Output: 2 1
+}
