--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -37,7 +37,9 @@
 const overloadWait = 10 * time.Millisecond
 
 // Decide returns whether an ended attempt is retried, and its final outcome if
-// it is not. A retry takes one unit from the pool and from the ratio.
+// it is not. A retry takes one unit from the pool and from the ratio. An edge
+// without room closes the pool: the layers above would otherwise run the failing
+// call again, and the ratios of the layers would compound.
 func Decide(a Attempt) Verdict {
 	final := a.Refusal
 	if final.Reason == outcome.None {
@@ -51,7 +53,11 @@
 	if a.Deadline != 0 && a.Now+wait+a.Expected >= a.Deadline {
 		return Verdict{Final: final}
 	}
-	if a.Pool.Left() == 0 || !a.Ratio.Allow(a.Now) {
+	if a.Pool.Left() == 0 {
+		return Verdict{Final: exhausted(final)}
+	}
+	if !a.Ratio.Allow(a.Now) {
+		a.Pool.Close()
 		return Verdict{Final: exhausted(final)}
 	}
 	a.Pool.Spend()
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -79,6 +79,10 @@
 			}
 			sum += n
 		}
+		if bound := 1 + ratioShare + float64(depth*ratioReserve)/actions; float64(sum)/actions > bound {
+			t.Errorf("depth %d: ratios compound: %.3f leaf executions per action, want at most %.3f",
+				depth, float64(sum)/actions, bound)
+		}
 		t.Logf("depth %d: %.3f leaf executions per action over %d actions on shared edges", depth, float64(sum)/actions, actions)
 	}
 }
