--- /dev/null
+++ b/internal/declaration/declaration_test.go
@@ -0,0 +1,117 @@
+package declaration
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"cardamomhatch/internal/mesh"
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against a bad declaration that is accepted, against a refusal that does
+// not name file, section, key and reason, and against problems left out after
+// the first. testdata/parse holds the cases.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
+		var files []File
+		for i, part := range strings.Split(d.Input, "\n---\n") {
+			files = append(files, File{Name: string(rune('a'+i)) + ".ini", Data: []byte(part)})
+		}
+		m, err := Parse(files...)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		return string(Format(m))
+	})
+}
+
+// Guards against a plan whose diff does not tell what changes.
+func TestDiff(t *testing.T) {
+	datadriven.RunTest(t, "testdata/diff", func(t *testing.T, d *datadriven.TestData) string {
+		parts := strings.Split(d.Input, "\n---\n")
+		var meshes []*Mesh
+		for _, part := range parts {
+			m, err := Parse(File{Name: "a.ini", Data: []byte(part)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			meshes = append(meshes, m)
+		}
+		var b strings.Builder
+		for _, difference := range Diff(meshes[0], meshes[1]) {
+			b.WriteString(difference.String())
+		}
+		return b.String()
+	})
+}
+
+func service(name mesh.Service) Change {
+	s := Service{Name: name}
+	return Change{Key: s.Key(), Set: &Object{Service: &s}}
+}
+
+func edge(from, to mesh.Service) Change {
+	e := Edge{From: from, To: to, CallsPerParent: 1}
+	return Change{Key: e.Key(), Set: &Object{Edge: &e}}
+}
+
+// Guards against a refused change that leaves part of itself in the set, and
+// against a mesh handed out earlier that changes afterwards.
+func TestApplyIsAllOrNothing(t *testing.T) {
+	set := NewSet()
+	first := []Change{{Key: HeaderKey, Set: &Object{Header: &Header{Name: "m"}}}, service("a"), service("b"), edge("a", "b")}
+	if err := set.Apply(first); err != nil {
+		t.Fatal(err)
+	}
+	before := set.Mesh()
+	copyBefore := string(Format(before))
+	refused := map[string][]Change{
+		"cycle":      {service("c"), edge("b", "c"), edge("c", "a")},
+		"still used": {service("c"), {Key: "service b"}},
+		"twice":      {service("c"), service("c")},
+		"undeclared": {service("c"), edge("c", "d")},
+		"wrong key":  {service("c"), {Key: "service d", Set: service("e").Set}},
+	}
+	for name, changes := range refused {
+		if err := set.Apply(changes); err == nil {
+			t.Fatalf("%s: change was accepted", name)
+		}
+		if set.Mesh() != before {
+			t.Fatalf("%s: refused change left its mark", name)
+		}
+	}
+	if err := set.Apply([]Change{{Key: "edge a b"}, {Key: "service b"}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := string(Format(before)); got != copyBefore {
+		t.Fatalf("mesh handed out earlier changed to\n%s", got)
+	}
+	if got := set.Mesh(); len(got.Services) != 1 || len(got.Edges) != 0 {
+		t.Fatalf("mesh after deletion: %+v", got)
+	}
+}
+
+// Guards against a parser that panics, or that accepts a mesh whose canonical
+// form reads back as another mesh.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[mesh]\nname = m\n[service a]\nmax_concurrency = 4\n[service b]\n" +
+		"[route GET /a/{id}]\nservice = a\nclass = high\ntimeout = 1s\n[edge a b]\ncalls_per_parent = 2\n" +
+		"[workspace w]\nrate_per_second = 1.5\nburst = 10\n"))
+	f.Add([]byte("[mesh]\nname = `m`\n[workspace w]\nrate_per_second = 1e-300\nburst = -0\nweight = 0x1p-4\n"))
+	f.Add([]byte("[route GET /{x...}]\nservice=\"a\nclass=\"\"\"x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Parse(File{Name: "f.ini", Data: data})
+		if err != nil {
+			return
+		}
+		text := Format(m)
+		again, err := Parse(File{Name: "g.ini", Data: text})
+		if err != nil {
+			t.Fatalf("canonical form is refused: %v\n%s", err, text)
+		}
+		if !reflect.DeepEqual(m, again) {
+			t.Fatalf("canonical form reads back differently:\n%s\n%s", text, Format(again))
+		}
+	})
+}
--- /dev/null
+++ b/internal/declaration/mesh.go
@@ -0,0 +1,195 @@
+// Package declaration describes a mesh: its services, the routes callers use,
+// the call graph between services and the workspaces with their rates. It exists
+// so that a description is checked once, completely, before it can become a
+// change of the configuration. The text form is INI; the in-memory form is an
+// immutable Mesh.
+package declaration
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// Limits of a declaration.
+const (
+	// MaxDepth is the longest chain of services one customer action may pass.
+	MaxDepth = 15
+	// MaxCallsPerParent bounds the declared calls on one edge.
+	MaxCallsPerParent = 1000
+	// MaxConcurrency bounds the concurrency hint of a service.
+	MaxConcurrency = 1_000_000
+	// MaxTimeout is the lifetime of a ticket. A call that runs longer could not
+	// be answered from its ticket any more.
+	MaxTimeout = 10 * time.Minute
+	// MaxRate bounds rates and bursts. Quota counts micro-calls in int64, which
+	// leaves room for more than 9,000 seconds at this rate.
+	MaxRate = 1e9
+	// MaxWeight bounds the ratio between two workspaces' weights.
+	MaxWeight = 1e6
+)
+
+// Mesh is a checked declaration. It is immutable: neither holders nor this
+// package change it or anything it refers to.
+type Mesh struct {
+	Name       string
+	Services   map[mesh.Service]Service
+	Routes     []Route // sorted by Route.Key
+	Edges      []Edge  // sorted by Edge.Key
+	Workspaces map[mesh.Workspace]Workspace
+}
+
+// Header is the [mesh] section.
+type Header struct {
+	Name string `json:"name"`
+}
+
+// Service is a group of upstreams that serve the same calls.
+type Service struct {
+	Name mesh.Service `json:"name"`
+	// MaxConcurrency is an upper bound hint for one upstream's calls in flight;
+	// 0 means no hint.
+	MaxConcurrency int `json:"max_concurrency,omitempty"`
+}
+
+// Route maps calls of callers to a service.
+type Route struct {
+	Method     string        `json:"method"`
+	Pattern    string        `json:"pattern"` // path part of a net/http mux pattern
+	Service    mesh.Service  `json:"service"`
+	Idempotent bool          `json:"idempotent,omitempty"`
+	Class      mesh.Class    `json:"class"`
+	Timeout    time.Duration `json:"timeout_ns"`
+}
+
+// Edge is a permitted call from one service to another.
+type Edge struct {
+	From           mesh.Service  `json:"from"`
+	To             mesh.Service  `json:"to"`
+	CallsPerParent int           `json:"calls_per_parent"`
+	Idempotent     bool          `json:"idempotent,omitempty"`
+	Timeout        time.Duration `json:"timeout_ns,omitempty"` // 0: only the parent's deadline applies
+}
+
+// Workspace is a tenant with its share of the fleet.
+type Workspace struct {
+	Name          mesh.Workspace `json:"name"`
+	RatePerSecond float64        `json:"rate_per_second"` // 0 refuses every call
+	Burst         float64        `json:"burst"`           // calls
+	Weight        float64        `json:"weight"`          // relative to other workspaces under overload
+}
+
+// Key identifies the service among the objects of a mesh.
+func (s Service) Key() string { return "service " + string(s.Name) }
+
+// Key identifies the route among the objects of a mesh.
+func (r Route) Key() string { return "route " + r.Method + " " + r.Pattern }
+
+// Key identifies the edge among the objects of a mesh.
+func (e Edge) Key() string { return "edge " + string(e.From) + " " + string(e.To) }
+
+// Key identifies the workspace among the objects of a mesh.
+func (w Workspace) Key() string { return "workspace " + string(w.Name) }
+
+// HeaderKey identifies the header among the objects of a mesh.
+const HeaderKey = "mesh"
+
+// Object holds exactly one object of a mesh.
+type Object struct {
+	Header    *Header    `json:"mesh,omitempty"`
+	Service   *Service   `json:"service,omitempty"`
+	Route     *Route     `json:"route,omitempty"`
+	Edge      *Edge      `json:"edge,omitempty"`
+	Workspace *Workspace `json:"workspace,omitempty"`
+}
+
+// Key identifies the object; it is also the name of its section. It is empty if
+// o does not hold exactly one object.
+func (o Object) Key() string {
+	key, count := "", 0
+	if o.Header != nil {
+		key, count = HeaderKey, count+1
+	}
+	if o.Service != nil {
+		key, count = o.Service.Key(), count+1
+	}
+	if o.Route != nil {
+		key, count = o.Route.Key(), count+1
+	}
+	if o.Edge != nil {
+		key, count = o.Edge.Key(), count+1
+	}
+	if o.Workspace != nil {
+		key, count = o.Workspace.Key(), count+1
+	}
+	if count != 1 {
+		return ""
+	}
+	return key
+}
+
+// fieldProblem is a refused value of one object.
+type fieldProblem struct{ field, reason string }
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+const nameRule = "must be 1 to 64 letters, digits, dots, dashes or underscores and start with a letter or digit"
+
+func checkName(out []fieldProblem, field, name string) []fieldProblem {
+	if nameForm.MatchString(name) {
+		return out
+	}
+	return append(out, fieldProblem{field, fmt.Sprintf("name %q %s", name, nameRule)})
+}
+
+func checkRange(out []fieldProblem, field string, v, low, high float64) []fieldProblem {
+	if v >= low && v <= high && !math.IsNaN(v) {
+		return out
+	}
+	return append(out, fieldProblem{field, fmt.Sprintf("%v is outside %v to %v", v, low, high)})
+}
+
+func checkTimeout(out []fieldProblem, low, d time.Duration) []fieldProblem {
+	if d >= low && d <= MaxTimeout {
+		return out
+	}
+	return append(out, fieldProblem{"timeout", fmt.Sprintf("%v is outside %v to %v", d, low, MaxTimeout)})
+}
+
+// check returns every problem that the object has on its own.
+func (o Object) check() []fieldProblem {
+	switch {
+	case o.Header != nil:
+		return checkName(nil, "name", o.Header.Name)
+	case o.Service != nil:
+		out := checkName(nil, "", string(o.Service.Name))
+		return checkRange(out, "max_concurrency", float64(o.Service.MaxConcurrency), 0, MaxConcurrency)
+	case o.Route != nil:
+		return o.Route.check()
+	case o.Edge != nil:
+		out := checkName(nil, "", string(o.Edge.From))
+		out = checkName(out, "", string(o.Edge.To))
+		out = checkRange(out, "calls_per_parent", float64(o.Edge.CallsPerParent), 1, MaxCallsPerParent)
+		return checkTimeout(out, 0, o.Edge.Timeout)
+	default:
+		out := checkName(nil, "", string(o.Workspace.Name))
+		out = checkRange(out, "rate_per_second", o.Workspace.RatePerSecond, 0, MaxRate)
+		out = checkRange(out, "burst", o.Workspace.Burst, 0, MaxRate)
+		return checkRange(out, "weight", o.Workspace.Weight, 1/MaxWeight, MaxWeight)
+	}
+}
+
+func (r *Route) check() []fieldProblem {
+	out := checkName(nil, "service", string(r.Service))
+	if r.Class >= mesh.NumClasses {
+		out = append(out, fieldProblem{"class", fmt.Sprintf("%v does not exist", r.Class)})
+	}
+	out = checkTimeout(out, time.Millisecond, r.Timeout)
+	if reason := checkPattern(r.Method, r.Pattern); reason != "" {
+		out = append(out, fieldProblem{"", reason})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/declaration/parse.go
@@ -0,0 +1,208 @@
+package declaration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cardamomhatch/internal/inifile"
+	"cardamomhatch/internal/mesh"
+)
+
+// File is one declaration file.
+type File struct {
+	Name string `json:"name"`
+	Data []byte `json:"data"`
+}
+
+// parser collects the objects of all files and where each came from.
+type parser struct {
+	problems inifile.Problems
+	changes  []Change
+	origin   map[string]string // object key to file
+}
+
+// Parse reads one mesh from all files together. The error is an
+// inifile.Problems that names file, section, key and reason of every problem.
+func Parse(files ...File) (*Mesh, error) {
+	p := parser{origin: map[string]string{}}
+	for _, f := range files {
+		for _, section := range inifile.Load(f.Name, f.Data, &p.problems) {
+			p.section(section)
+		}
+	}
+	set := NewSet()
+	err := set.Apply(p.changes)
+	var found inifile.Problems
+	if errors.As(err, &found) {
+		p.problems = merge(p.problems, p.locate(found))
+	}
+	if p.origin[HeaderKey] == "" && len(p.problems) == 0 {
+		p.problems = append(p.problems, inifile.Problem{Section: HeaderKey, Reason: "section is missing"})
+	}
+	if len(p.problems) > 0 {
+		return nil, p.problems
+	}
+	return set.Mesh(), nil
+}
+
+// locate adds to each problem the file its object was declared in.
+func (p *parser) locate(problems inifile.Problems) inifile.Problems {
+	for i := range problems {
+		problems[i].File = p.origin[problems[i].Section]
+	}
+	return problems
+}
+
+func (p *parser) section(s *inifile.Section) {
+	words := strings.Split(s.Name, " ")
+	wanted, known := map[string]int{"mesh": 1, "service": 2, "route": 3, "edge": 3, "workspace": 2}[words[0]]
+	if !known {
+		s.Refuse("", "unknown section")
+		return
+	}
+	if len(words) != wanted {
+		s.Refuse("", fmt.Sprintf("section has %d words instead of %d", len(words), wanted))
+		return
+	}
+	if first, dup := p.origin[s.Name]; dup {
+		s.Refuse("", "section is already declared in "+first)
+		return
+	}
+	object := readObject(s, words)
+	s.Close()
+	p.origin[s.Name] = s.File
+	p.changes = append(p.changes, Change{Key: s.Name, Set: &object})
+}
+
+func readObject(s *inifile.Section, words []string) Object {
+	switch words[0] {
+	case "mesh":
+		return Object{Header: &Header{Name: s.Text("name")}}
+	case "service":
+		return Object{Service: &Service{Name: mesh.Service(words[1]), MaxConcurrency: s.IntOr("max_concurrency", 0)}}
+	case "route":
+		return Object{Route: readRoute(s, words[1], words[2])}
+	case "edge":
+		return Object{Edge: &Edge{
+			From:           mesh.Service(words[1]),
+			To:             mesh.Service(words[2]),
+			CallsPerParent: s.IntOr("calls_per_parent", 1),
+			Idempotent:     s.BoolOr("idempotent", false),
+			Timeout:        s.DurationOr("timeout", 0),
+		}}
+	}
+	return Object{Workspace: readWorkspace(s, words[1])}
+}
+
+func readRoute(s *inifile.Section, method, pattern string) *Route {
+	r := &Route{
+		Method:     method,
+		Pattern:    pattern,
+		Service:    mesh.Service(s.Text("service")),
+		Idempotent: s.BoolOr("idempotent", false),
+	}
+	if text := s.Text("class"); text != "" {
+		class, err := mesh.ParseClass(text)
+		if err != nil {
+			s.Refuse("class", err.Error())
+		}
+		r.Class = class
+	}
+	if !s.Has("timeout") {
+		s.Refuse("timeout", "key is missing")
+	}
+	r.Timeout = s.DurationOr("timeout", 0)
+	return r
+}
+
+func readWorkspace(s *inifile.Section, name string) *Workspace {
+	for _, key := range []string{"rate_per_second", "burst"} {
+		if !s.Has(key) {
+			s.Refuse(key, "key is missing")
+		}
+	}
+	return &Workspace{
+		Name:          mesh.Workspace(name),
+		RatePerSecond: s.FloatOr("rate_per_second", 0),
+		Burst:         s.FloatOr("burst", 0),
+		Weight:        s.FloatOr("weight", 1),
+	}
+}
+
+// Format writes the mesh in canonical form: objects sorted by kind and key,
+// every key present. Parse returns an equal mesh.
+func Format(m *Mesh) []byte {
+	var b bytes.Buffer
+	for i, o := range m.Objects() {
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		fmt.Fprintf(&b, "[%s]\n", o.Key())
+		for _, f := range o.Fields() {
+			fmt.Fprintf(&b, "%s = %s\n", f.Name, f.Value)
+		}
+	}
+	return b.Bytes()
+}
+
+// Objects returns all objects of the mesh in canonical order.
+func (m *Mesh) Objects() []Object {
+	out := make([]Object, 0, 1+len(m.Services)+len(m.Routes)+len(m.Edges)+len(m.Workspaces))
+	if m.Name != "" {
+		out = append(out, Object{Header: &Header{Name: m.Name}})
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.Services)) {
+		v := m.Services[name]
+		out = append(out, Object{Service: &v})
+	}
+	for i := range m.Routes {
+		out = append(out, Object{Route: &m.Routes[i]})
+	}
+	for i := range m.Edges {
+		out = append(out, Object{Edge: &m.Edges[i]})
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.Workspaces)) {
+		v := m.Workspaces[name]
+		out = append(out, Object{Workspace: &v})
+	}
+	return out
+}
+
+// Field is one key of an object's section.
+type Field struct{ Name, Value string }
+
+// Fields returns the keys of the object's section with their canonical values.
+func (o Object) Fields() []Field {
+	number := func(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+	switch {
+	case o.Header != nil:
+		return []Field{{"name", o.Header.Name}}
+	case o.Service != nil:
+		return []Field{{"max_concurrency", strconv.Itoa(o.Service.MaxConcurrency)}}
+	case o.Route != nil:
+		return []Field{
+			{"service", string(o.Route.Service)},
+			{"idempotent", strconv.FormatBool(o.Route.Idempotent)},
+			{"class", o.Route.Class.String()},
+			{"timeout", o.Route.Timeout.String()},
+		}
+	case o.Edge != nil:
+		return []Field{
+			{"calls_per_parent", strconv.Itoa(o.Edge.CallsPerParent)},
+			{"idempotent", strconv.FormatBool(o.Edge.Idempotent)},
+			{"timeout", o.Edge.Timeout.String()},
+		}
+	case o.Workspace != nil:
+		return []Field{
+			{"rate_per_second", number(o.Workspace.RatePerSecond)},
+			{"burst", number(o.Workspace.Burst)},
+			{"weight", number(o.Workspace.Weight)},
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/examples/examples_test.go
@@ -0,0 +1,43 @@
+package examples
+
+import (
+	"testing"
+
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/mesh"
+)
+
+// Guards against an example declaration that does not parse, that names other
+// services than the upstreams, or that lacks a critical non-idempotent route.
+func TestDeployments(t *testing.T) {
+	for _, name := range Names() {
+		d, err := Get(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := declaration.Parse(d.Declaration)
+		if err != nil {
+			t.Fatalf("%s:\n%v", name, err)
+		}
+		if m.Name != name || len(m.Workspaces) != 8 || len(m.Services) != len(d.Upstreams) || len(d.DataCentres) != 3 {
+			t.Errorf("%s: mesh %q has %d workspaces and %d services", name, m.Name, len(m.Workspaces), len(m.Services))
+		}
+		for _, u := range d.Upstreams {
+			if s, ok := m.Services[u.Service]; !ok || s.MaxConcurrency != u.Slots {
+				t.Errorf("%s: service %s has %d slots, declared %+v", name, u.Service, u.Slots, s)
+			}
+		}
+		critical := 0
+		for _, r := range m.Routes {
+			if r.Class == mesh.ClassCritical && !r.Idempotent {
+				critical++
+			}
+		}
+		if critical == 0 {
+			t.Errorf("%s: no critical non-idempotent route", name)
+		}
+	}
+	if _, err := Get("atlantis"); err == nil {
+		t.Error("an unknown deployment was found")
+	}
+}
--- /dev/null
+++ b/internal/inifile/inifile.go
@@ -0,0 +1,227 @@
+// Package inifile reads INI files strictly. The INI library accepts duplicate
+// sections, duplicate keys and unknown names; a misspelt key would then fall
+// back to a default unnoticed. Here every such deviation is a Problem that names
+// file, section, key and reason, and all problems of a file are collected.
+package inifile
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Problem is one reason to refuse a file.
+type Problem struct {
+	File    string // empty if the value did not come from a file
+	Section string // empty if the problem concerns the whole file
+	Key     string // empty if the problem concerns the whole section
+	Reason  string
+}
+
+// String formats the problem as file: [section] key: reason.
+func (p Problem) String() string {
+	parts := make([]string, 0, 3)
+	if p.File != "" {
+		parts = append(parts, p.File)
+	}
+	place := ""
+	if p.Section != "" {
+		place = "[" + p.Section + "]"
+	}
+	if p.Key != "" {
+		place = strings.TrimSpace(place + " " + p.Key)
+	}
+	if place != "" {
+		parts = append(parts, place)
+	}
+	return strings.Join(append(parts, p.Reason), ": ")
+}
+
+// Problems is the error that lists every problem found.
+type Problems []Problem
+
+// Error lists the problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns p as an error, or nil if there is no problem.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// Section is one section of a file. Its methods read keys and record a problem
+// for each key that is missing, malformed or out of range.
+type Section struct {
+	File     string
+	Name     string
+	values   map[string]string
+	order    []string
+	used     map[string]bool
+	problems *Problems
+}
+
+// Load splits a file into sections and adds what it refuses to problems. It
+// refuses keys outside any section and keys given twice in one section.
+// Duplicate sections are returned as they are, since only the caller knows what
+// a section name means.
+func Load(file string, data []byte, problems *Problems) []*Section {
+	options := ini.LoadOptions{
+		IgnoreContinuation:         true,
+		IgnoreInlineComment:        true,
+		PreserveSurroundedQuote:    true,
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
+		AllowNonUniqueSections:     true,
+		KeyValueDelimiters:         "=",
+	}
+	f, err := ini.LoadSources(options, data)
+	if err != nil {
+		*problems = append(*problems, Problem{File: file, Reason: strings.TrimSpace(err.Error())})
+		return nil
+	}
+	var sections []*Section
+	for i, s := range f.Sections() {
+		if i == 0 {
+			checkPreamble(file, s, problems)
+			continue
+		}
+		sections = append(sections, newSection(file, s, problems))
+	}
+	return sections
+}
+
+// checkPreamble refuses keys before the first section, which the library puts
+// into a section of its own.
+func checkPreamble(file string, s *ini.Section, problems *Problems) {
+	for _, k := range s.Keys() {
+		*problems = append(*problems, Problem{File: file, Key: k.Name(), Reason: "key stands outside any section"})
+	}
+}
+
+func newSection(file string, s *ini.Section, problems *Problems) *Section {
+	out := &Section{File: file, Name: s.Name(), values: map[string]string{}, used: map[string]bool{}, problems: problems}
+	for _, k := range s.Keys() {
+		values := k.ValueWithShadows()
+		if len(values) > 1 {
+			out.Refuse(k.Name(), fmt.Sprintf("key is given %d times", len(values)))
+		}
+		out.values[k.Name()] = k.Value()
+		out.order = append(out.order, k.Name())
+	}
+	return out
+}
+
+// Refuse records a problem with a key, or with the section if key is empty.
+func (s *Section) Refuse(key, reason string) {
+	*s.problems = append(*s.problems, Problem{File: s.File, Section: s.Name, Key: key, Reason: reason})
+}
+
+// Close refuses every key that no method has read.
+func (s *Section) Close() {
+	for _, key := range s.order {
+		if !s.used[key] {
+			s.Refuse(key, "unknown key")
+		}
+	}
+}
+
+// Has reports whether the section contains the key.
+func (s *Section) Has(key string) bool {
+	_, ok := s.values[key]
+	return ok
+}
+
+func (s *Section) lookup(key string, required bool) (string, bool) {
+	s.used[key] = true
+	v, ok := s.values[key]
+	if !ok && required {
+		s.Refuse(key, "key is missing")
+	}
+	if ok && v == "" {
+		s.Refuse(key, "value is empty")
+		return "", false
+	}
+	return v, ok
+}
+
+// Text returns a required value.
+func (s *Section) Text(key string) string {
+	v, _ := s.lookup(key, true)
+	return v
+}
+
+// TextOr returns an optional value, or fallback if the key is absent.
+func (s *Section) TextOr(key, fallback string) string {
+	if v, ok := s.lookup(key, false); ok {
+		return v
+	}
+	return fallback
+}
+
+// BoolOr returns an optional value that must be true or false.
+func (s *Section) BoolOr(key string, fallback bool) bool {
+	v, ok := s.lookup(key, false)
+	if !ok {
+		return fallback
+	}
+	if v != "true" && v != "false" {
+		s.Refuse(key, fmt.Sprintf("%q is neither true nor false", v))
+	}
+	return v == "true"
+}
+
+// IntOr returns an optional decimal integer.
+func (s *Section) IntOr(key string, fallback int) int {
+	v, ok := s.lookup(key, false)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		s.Refuse(key, fmt.Sprintf("%q is not an integer", v))
+	}
+	return n
+}
+
+// FloatOr returns an optional finite number.
+func (s *Section) FloatOr(key string, fallback float64) float64 {
+	v, ok := s.lookup(key, false)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		s.Refuse(key, fmt.Sprintf("%q is not a finite number", v))
+		return fallback
+	}
+	if n == 0 {
+		return 0 // equal values have one form, and -0 has another sign bit
+	}
+	return n
+}
+
+// DurationOr returns an optional duration in Go notation, for example 250ms.
+func (s *Section) DurationOr(key string, fallback time.Duration) time.Duration {
+	v, ok := s.lookup(key, false)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		s.Refuse(key, fmt.Sprintf("%q is not a duration such as 250ms", v))
+	}
+	return d
+}
