--- /dev/null
+++ b/internal/quota/net_test.go
@@ -0,0 +1,214 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const ws = mesh.Workspace("w")
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+// fleet is several ledgers on a lossy network with virtual time. Each process
+// has its own clock, which starts at zero and may run up to 0.5 % fast or slow.
+type fleet struct {
+	rng    *rand.Rand
+	now    time.Duration
+	events []event
+	seq    int
+	procs  []*proc
+
+	loss, duplicate float64
+	delay, jitter   time.Duration
+	tick            time.Duration
+	cut             func(from, to int) bool
+
+	limit    Limit
+	shares   []Share
+	uses     []time.Duration
+	messages int
+	asks     int
+	taken    int
+	results  map[Result]int
+	settledR func(mesh.CallID, Result)
+}
+
+type proc struct {
+	f      *fleet
+	i      int
+	id     mesh.NodeID
+	ledger *Ledger
+	start  time.Duration
+	skew   float64
+	paused bool
+	dead   bool
+	nextID mesh.CallID
+}
+
+func newFleet(seed uint64, n int, limit Limit) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), limit: limit, results: map[Result]int{},
+		delay: 1500 * time.Microsecond, jitter: time.Millisecond, tick: 5 * time.Millisecond,
+	}
+	for i := range n {
+		f.procs = append(f.procs, &proc{f: f, i: i})
+		f.boot(i, 1)
+	}
+	return f
+}
+
+func (f *fleet) boot(i int, inc mesh.Incarnation) {
+	p := &proc{f: f, i: i, start: f.now, skew: 1 + (f.rng.Float64()-0.5)/100}
+	p.id = mesh.NodeID{Host: mesh.Host(fmt.Sprintf("h%02d", i)), Incarnation: inc}
+	p.ledger = New(p.id, Config{Seed: f.rng.Uint64()})
+	p.ledger.SetLimits(p.clock(), []Limit{f.limit})
+	p.ledger.SetShares(p.clock(), ws, f.shares)
+	f.procs[i].dead = true
+	f.procs[i] = p
+	p.ticker()
+}
+
+func (p *proc) clock() time.Duration {
+	return time.Duration(float64(p.f.now-p.start) * p.skew)
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.seq++
+	e := event{f.now + d, f.seq, run}
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at > e.at })
+	f.events = append(f.events, event{})
+	copy(f.events[i+1:], f.events[i:])
+	f.events[i] = e
+}
+
+func (f *fleet) runTo(end time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := f.events[0]
+		f.events = f.events[1:]
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+func (p *proc) ticker() {
+	p.f.after(p.f.tick, func() {
+		if p.dead {
+			return
+		}
+		if !p.paused {
+			p.emit(p.ledger.Tick(p.clock(), nil))
+		}
+		p.ticker()
+	})
+}
+
+// emit sends messages and collects what was decided.
+func (p *proc) emit(out []mesh.Envelope) {
+	for _, s := range p.ledger.Settled() {
+		p.decided(s.Call, s.Result)
+	}
+	for _, e := range p.ledger.Outgoing(p.clock(), out) {
+		p.f.send(p, e)
+	}
+}
+
+func (p *proc) decided(call mesh.CallID, r Result) {
+	p.f.results[r]++
+	if r == Taken {
+		p.f.uses = append(p.f.uses, p.f.now)
+	}
+	if p.f.settledR != nil {
+		p.f.settledR(call, r)
+	}
+}
+
+func (f *fleet) send(p *proc, e mesh.Envelope) {
+	f.messages++
+	if _, ask := e.Message.(Ask); ask {
+		f.asks++
+	}
+	copies := 1
+	if f.rng.Float64() < f.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if f.rng.Float64() < f.loss {
+			continue
+		}
+		d := f.delay + time.Duration(f.rng.Int64N(int64(f.jitter)+1))
+		f.after(d, func() { f.arrive(p.i, e) })
+	}
+}
+
+func (f *fleet) arrive(from int, e mesh.Envelope) {
+	for _, q := range f.procs {
+		if q.id != e.To || q.dead || f.cut != nil && f.cut(from, q.i) {
+			continue
+		}
+		if q.paused {
+			f.after(10*time.Millisecond, func() { f.arrive(from, e) })
+			continue
+		}
+		q.emit(q.ledger.Deliver(q.clock(), e.From, e.Message, nil))
+	}
+}
+
+func (p *proc) call() {
+	p.nextID++
+	r := p.ledger.Take(p.clock(), ws, p.nextID)
+	if r != Waiting {
+		p.decided(p.nextID, r)
+	}
+	p.emit(nil)
+}
+
+func (f *fleet) assign(s ...Share) {
+	f.shares = s
+	for _, p := range f.procs {
+		p.ledger.SetShares(p.clock(), ws, s)
+	}
+}
+
+// first assigns count shares to the first processes, all fresh for ever.
+func (f *fleet) first(count int) {
+	var s []Share
+	for i := range count {
+		s = append(s, Share{Workspace: ws, Index: i, Count: count, Holder: f.procs[i].id, Epoch: 1, First: true})
+	}
+	f.assign(s...)
+	f.fresh(time.Hour)
+}
+
+func (f *fleet) fresh(d time.Duration) {
+	for _, p := range f.procs {
+		if !p.dead && !p.paused {
+			p.ledger.SetFreshUntil(p.clock() + d)
+		}
+	}
+}
+
+// checkBound compares the uses of every window with rate x T + burst. It is
+// the exact test: a bucket that never refuses shows the largest excess. Clocks
+// of this test run up to 0.5 % fast, so that much is added to the rate.
+func checkBound(t testing.TB, uses []time.Duration, l Limit) {
+	t.Helper()
+	sort.Slice(uses, func(i, j int) bool { return uses[i] < uses[j] })
+	rate, level, last := l.RatePerSecond*1.005, l.Burst, time.Duration(0)
+	for _, u := range uses {
+		level = min(l.Burst, level+rate*(u-last).Seconds())
+		last = u
+		if level--; level < -0.001 {
+			t.Fatalf("at %v: use exceeds %v/s x T + %v by %.3f calls", u, l.RatePerSecond, l.Burst, -level)
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -147,6 +147,7 @@
 	Workspace mesh.Workspace
 	Index     int
 	Epoch     uint64 // that the sender held
+	Count     int    // of shares at that epoch
 	Level     int64
 	Out       int64         // credit still out at borrowers
 	OutFor    time.Duration // until the last of it expires
