--- /dev/null
+++ b/internal/ticket/text.go
@@ -0,0 +1,101 @@
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	textVersion = 1
+	macSize     = 16 // bytes; a truncated HMAC-SHA256
+	fixedSize   = 1 + 8 + 8 + 8
+	// maxTextSize bounds what Begin decodes; host and workspace names have at
+	// most 255 bytes each.
+	maxTextSize = (fixedSize + 2*256 + macSize) * 4 / 3
+)
+
+// fields is the decoded content of a ticket.
+type fields struct {
+	owner     mesh.NodeID
+	sequence  uint64
+	issued    time.Duration
+	workspace mesh.Workspace
+	signed    []byte // the bytes under the MAC
+	mac       []byte
+}
+
+// encode returns the URL-safe text: version, incarnation, sequence, issue time,
+// host and workspace with a length byte each, MAC.
+func encode(f fields, mac hash.Hash) string {
+	raw := make([]byte, 0, fixedSize+2+len(f.owner.Host)+len(f.workspace)+sha256.Size)
+	raw = append(raw, textVersion)
+	raw = binary.BigEndian.AppendUint64(raw, uint64(f.owner.Incarnation))
+	raw = binary.BigEndian.AppendUint64(raw, f.sequence)
+	raw = binary.BigEndian.AppendUint64(raw, uint64(f.issued))
+	raw = append(append(raw, byte(len(f.owner.Host))), f.owner.Host...)
+	raw = append(append(raw, byte(len(f.workspace))), f.workspace...)
+	mac.Reset()
+	mac.Write(raw)
+	signed := len(raw)
+	raw = mac.Sum(raw)
+	return base64.RawURLEncoding.EncodeToString(raw[:signed+macSize])
+}
+
+// decode reads the text. It does not check the MAC.
+func decode(text string) (fields, error) {
+	if len(text) > maxTextSize {
+		return fields{}, fmt.Errorf("ticket has %d characters, more than %d", len(text), maxTextSize)
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return fields{}, fmt.Errorf("ticket is not base64url: %w", err)
+	}
+	if len(raw) < fixedSize+2+macSize || raw[0] != textVersion {
+		return fields{}, fmt.Errorf("ticket is too short or of another version")
+	}
+	signed := raw[:len(raw)-macSize]
+	f := fields{signed: signed, mac: raw[len(signed):]}
+	f.owner.Incarnation = mesh.Incarnation(binary.BigEndian.Uint64(raw[1:]))
+	f.sequence = binary.BigEndian.Uint64(raw[9:])
+	f.issued = time.Duration(binary.BigEndian.Uint64(raw[17:]))
+	host, rest, ok := cutName(signed[fixedSize:])
+	workspace, rest, ok2 := cutName(rest)
+	if !ok || !ok2 || len(rest) != 0 || f.issued < 0 {
+		return fields{}, fmt.Errorf("ticket fields do not match its length")
+	}
+	f.owner.Host, f.workspace = mesh.Host(host), mesh.Workspace(workspace)
+	return f, nil
+}
+
+func cutName(b []byte) (name, rest []byte, ok bool) {
+	if len(b) == 0 || len(b) < 1+int(b[0]) {
+		return nil, nil, false
+	}
+	end := 1 + int(b[0])
+	return b[1:end], b[end:], true
+}
+
+// authentic compares the MAC in constant time.
+func (f fields) authentic(mac hash.Hash) bool {
+	var sum [sha256.Size]byte
+	mac.Reset()
+	mac.Write(f.signed)
+	return subtle.ConstantTimeCompare(mac.Sum(sum[:0])[:macSize], f.mac) == 1
+}
+
+func newMAC(key [32]byte) hash.Hash { return hmac.New(sha256.New, key[:]) }
+
+// Owner returns the node that issued the ticket. The MAC is not checked: only
+// the owner and its successor can do that.
+func Owner(ticket string) (mesh.NodeID, error) {
+	f, err := decode(ticket)
+	return f.owner, err
+}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -10,8 +10,9 @@
 // Config.HandoverDelay, advancing faster than real time by Config.DriftPerMille)
 // decides whether a ticket has expired, the slow edge (the clock as sent,
 // advancing slower by the same amount) decides whether a marker may be dropped.
-// Drift and message delay can therefore only make a ticket expire early; a
-// marker always outlasts its ticket, however long the handover was under way.
+// A marker therefore always outlasts its ticket. Drift and a message delay up to
+// Config.HandoverDelay make a ticket expire early, never late; a longer delay
+// lets ticket and marker live longer by the excess, which cannot run one twice.
 package ticket
 
 import (
