--- /dev/null
+++ b/models/tickets.broken-unsent-handover.pml
@@ -0,0 +1,3 @@
+/* The successor accepts tickets before it has received the handover. It must be rejected. */
+#define FAULT_UNSENT_HANDOVER
+#include "tickets.inc.pml"
--- /dev/null
+++ b/models/tickets.pml
@@ -0,0 +1,2 @@
+/* The ticket protocol as internal/ticket implements it. It must verify. */
+#include "tickets.inc.pml"
