--- /dev/null
+++ b/internal/admission/cut.go
@@ -0,0 +1,122 @@
+package admission
+
+import (
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	cutWindow      = 50 * time.Millisecond
+	cutTightenOver = 0.08 // refused part of the queue's arrivals from which the cut tightens
+	cutAim         = 0.04 // refused part that a tightened cut leaves, so that slots never idle
+	cutCalm        = 2    // windows without refusals before the cut loosens
+	cutFirstShare  = mesh.CutScale / 8
+	cutMemory      = 0.7 // weight of the past in the counts
+	cutMinArrivals = 4   // arrivals from which a workspace's counts have a say
+)
+
+// counts are decayed sums of one workspace's queue arrivals and refusals in one
+// class.
+type counts struct{ arrived, refused float32 }
+
+// cutState derives the published cut from what the queue has to refuse.
+type cutState struct {
+	cut     mesh.Cut
+	at      time.Duration
+	calm    int  // windows without refusals
+	refused int  // refusals of the queue in this window
+	idle    bool // slots were free during the whole window
+}
+
+// updateCut ends a window. The dead band between no refusals at all and
+// cutTightenOver is the hysteresis.
+func (c *Controller) updateCut(now time.Duration) {
+	s := &c.cut
+	if now-s.at < cutWindow {
+		return
+	}
+	s.at = now
+	class, refused := c.pressure()
+	switch {
+	case refused > cutTightenOver && class <= s.cut.Class:
+		s.calm = 0
+		c.tighten(class, refused)
+		c.forgetCounts()
+	case s.refused > 0:
+		s.calm = 0
+	default:
+		s.calm++
+		if s.calm >= cutCalm {
+			c.loosen()
+		}
+	}
+	s.refused = 0
+	s.idle = true
+}
+
+// pressure returns the most important class of which the queue refuses a
+// relevant part, and that part.
+//
+// The part is that of the least refused workspace: a cut refuses the same share
+// of every workspace, so it may only refuse what even the workspace with the
+// smallest demand for its share cannot get. The queue refuses the rest by fair
+// share.
+func (c *Controller) pressure() (mesh.Class, float64) {
+	var least [mesh.NumClasses]float64
+	var some [mesh.NumClasses]bool
+	for class := range least {
+		least[class] = 1
+	}
+	for i := range c.queue.flows {
+		f := &c.queue.flows[i]
+		for class := range f.counts {
+			n := &f.counts[class]
+			if n.arrived >= cutMinArrivals {
+				some[class] = true
+				least[class] = min(least[class], float64(n.refused/n.arrived))
+			}
+			n.arrived *= cutMemory
+			n.refused *= cutMemory
+		}
+	}
+	for class := range least {
+		if some[class] && least[class] > cutTightenOver {
+			return mesh.Class(class), least[class]
+		}
+	}
+	return 0, 0
+}
+
+// forgetCounts drops what was counted under another cut.
+func (c *Controller) forgetCounts() {
+	for i := range c.queue.flows {
+		c.queue.flows[i].counts = [mesh.NumClasses]counts{}
+	}
+}
+
+func (c *Controller) tighten(class mesh.Class, refused float64) {
+	cut := &c.cut.cut
+	if class < cut.Class {
+		*cut = mesh.Cut{Class: class, Share: mesh.CutScale}
+	}
+	share := float64(cut.Share) * (1 - refused + cutAim)
+	cut.Share = uint16(min(max(share, 1), mesh.CutScale))
+}
+
+// loosen opens the cut step by step, faster while slots are free.
+func (c *Controller) loosen() {
+	cut := &c.cut.cut
+	share := int(cut.Share) + int(cut.Share)/8 + cutFirstShare/4
+	if c.cut.idle {
+		share = 2*int(cut.Share) + cutFirstShare
+	}
+	switch {
+	case share < mesh.CutScale:
+		cut.Share = uint16(share)
+	case cut.Class < mesh.NumClasses-1:
+		*cut = mesh.Cut{Class: cut.Class + 1, Share: cutFirstShare}
+	default:
+		*cut = mesh.OpenCut
+	}
+}
--- /dev/null
+++ b/internal/admission/limiter.go
@@ -0,0 +1,220 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	minLimit        = 2
+	minWindow       = 50 * time.Millisecond
+	maxWindow       = time.Second
+	minSamples      = 16
+	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
+	maxVerify       = 200 // samples after which a verification is decided in any case
+	verifyFactor    = 0.7 // limit during a verification, of the limit before
+	growBelow       = 1.1 // own time over base up to which the limit grows
+	verifyAbove     = 1.3 // own time over base from which congestion is verified
+	kneeMargin      = 1.1 // limit over the estimated knee, keeps the slots busy
+	baseGain        = 0.3 // weight of a window that is faster than the base
+	clearlyFaster   = 0.8 // own time over base from which the base is replaced at once
+	significance    = 2.0 // standard errors
+	fullShare       = 0.9 // part of the limit from which a window counts as full
+	minHold         = 100 * time.Millisecond
+	maxHold         = 500 * time.Millisecond
+	shedSlotHold    = 100 * time.Millisecond // longest time a shed call's slot stays unused
+	serviceGain     = 0.05
+	serviceHalfLife = 500 * time.Millisecond
+)
+
+// limiter learns the concurrency limit of one upstream.
+//
+// A rise of latency has two causes that need opposite answers: too many calls in
+// flight (own time grows in proportion to the limit), and a slower service (own
+// time does not depend on the limit, and every slot is needed). The limiter tells
+// them apart by lowering the limit for a moment and comparing. Time spent
+// waiting for downstream calls is left out of own time: it depends on the limit
+// of another upstream.
+type limiter struct {
+	limit   float64
+	step    float64 // next growth; doubles while growth causes no harm
+	bound   float64 // reported slots or configured bound
+	base    float64 // own time without congestion, ns
+	win     window
+	since   time.Duration // only calls that started since count
+	verify  verification
+	hold    time.Duration // pause after a refusal by the upstream
+	growAt  time.Duration // no growth before
+	service float64       // expected latency of a call, ns
+	sampled time.Duration // time of the last latency sample
+	held    int           // slots of shed calls that are not yet reused
+	heldAt  time.Duration
+}
+
+// window collects samples between two decisions.
+type window struct {
+	start   time.Duration
+	n       int
+	sum, sq float64
+	peak    int // most calls in flight
+	shed    int
+}
+
+// verification is a test whether own time depends on the limit.
+type verification struct {
+	active bool
+	limit  float64 // limit before
+	own    float64 // own time before
+}
+
+func newLimiter(initial, bound int) limiter {
+	l := limiter{limit: float64(initial), step: float64(initial), bound: float64(bound), hold: minHold}
+	l.clamp()
+	return l
+}
+
+func (l *limiter) clamp() {
+	l.limit = max(min(l.limit, l.bound), min(minLimit, l.bound), 1)
+}
+
+// allowed returns how many calls may be in flight.
+func (l *limiter) allowed() int { return max(int(l.limit)-l.held, 0) }
+
+// started records a call sent to the upstream.
+func (l *limiter) started(inFlight int) { l.win.peak = max(l.win.peak, inFlight) }
+
+// shed records a refusal by the upstream of a call that was the inFlight-th in
+// flight when it was sent. The slot stays unused until another call ends:
+// refusals are fast, and reusing the slot at once would send the whole queue
+// into the same refusal.
+func (l *limiter) shed(now time.Duration, inFlight int) {
+	l.held++
+	l.heldAt = now
+	l.win.shed++
+	l.limit = min(l.limit, max(float64(inFlight-1), l.limit/2))
+	l.clamp()
+	l.step = 1
+	l.growAt = now + l.hold
+}
+
+// sample records the latency of a call that the upstream worked on.
+func (l *limiter) sample(now, started time.Duration, s Sample) {
+	l.held = max(l.held-1, 0)
+	l.sampled = now
+	if l.service == 0 {
+		l.service = float64(s.Latency)
+	}
+	l.service += serviceGain * (float64(s.Latency) - l.service)
+	if started < l.since || now < l.since+settleTimes*time.Duration(l.service) {
+		return
+	}
+	own := float64(max(s.Latency-s.Downstream, 0))
+	l.win.n++
+	l.win.sum += own
+	l.win.sq += own * own
+}
+
+// expected returns the expected latency of a call. It decays while nothing is
+// measured, so that an estimate from a bad time cannot keep every call out.
+func (l *limiter) expected(now time.Duration) time.Duration {
+	idle := now - l.sampled
+	if idle <= serviceHalfLife {
+		return time.Duration(l.service)
+	}
+	return time.Duration(l.service * math.Exp2(-float64(idle-serviceHalfLife)/float64(serviceHalfLife)))
+}
+
+// tick ends the window if it is long enough and moves the limit.
+func (l *limiter) tick(now time.Duration, inFlight int) {
+	if l.held > 0 && now-l.heldAt >= shedSlotHold {
+		l.held = 0
+	}
+	length := now - l.win.start
+	if length < minWindow || length < min(time.Duration(l.service), maxWindow) {
+		return
+	}
+	if l.win.n < minSamples && length < maxWindow {
+		return
+	}
+	if l.win.n > 0 {
+		if !l.decide(now) {
+			return
+		}
+	}
+	l.win = window{start: now, peak: inFlight}
+}
+
+// decide moves the limit by the window's samples. It returns false if it needs
+// more of them.
+func (l *limiter) decide(now time.Duration) bool {
+	n := float64(l.win.n)
+	mean := l.win.sum / n
+	deviation := math.Sqrt(max(l.win.sq/n-mean*mean, 0) / n)
+	if l.verify.active {
+		return l.verified(mean, deviation)
+	}
+	full := float64(l.win.peak) >= fullShare*math.Floor(l.limit)
+	l.rebase(mean, deviation, full)
+	switch {
+	case l.win.shed > 0:
+		l.hold = min(2*l.hold, maxHold)
+	case mean-significance*deviation > verifyAbove*l.base:
+		l.suspect(now, mean, full)
+	case full && mean-deviation <= growBelow*l.base && now >= l.growAt:
+		l.grow()
+	}
+	return true
+}
+
+// rebase follows the own time without congestion. Below the limit it follows in
+// both directions; at the limit only a clear fall counts, because a slow rise
+// may come from the limit itself and would raise limit and base in turn.
+func (l *limiter) rebase(mean, deviation float64, full bool) {
+	switch {
+	case l.base == 0, mean+significance*deviation < clearlyFaster*l.base:
+		l.base = mean
+	case !full, mean+significance*deviation < l.base:
+		l.base += baseGain * (mean - l.base)
+	}
+}
+
+// suspect starts a verification. A rise of own time below the limit cannot come
+// from the limit, so it becomes the base at once.
+func (l *limiter) suspect(now time.Duration, own float64, full bool) {
+	if !full {
+		l.base = own
+		return
+	}
+	l.verify = verification{active: true, limit: l.limit, own: own}
+	l.since = now
+	l.limit *= verifyFactor
+	l.clamp()
+}
+
+// verified ends a verification once the own time at the lower limit is clearly
+// on one side of the midpoint between "in proportion to the limit" and
+// "independent of it".
+func (l *limiter) verified(mean, deviation float64) bool {
+	before := l.verify
+	midpoint := before.own * (1 + l.limit/before.limit) / 2
+	if math.Abs(mean-midpoint) < significance*deviation && l.win.n < maxVerify {
+		return false
+	}
+	l.verify = verification{}
+	l.step = 1
+	if mean >= midpoint {
+		l.base = mean
+		l.limit = before.limit
+		return true
+	}
+	l.limit = min(kneeMargin*before.limit*l.base/before.own, before.limit)
+	l.clamp()
+	return true
+}
+
+func (l *limiter) grow() {
+	l.limit += l.step
+	l.step = min(2*l.step, max(l.limit/2, 1))
+	l.hold = minHold
+	l.clamp()
+}
