--- /dev/null
+++ b/internal/node/body.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// replayLimit is the largest request body that is held in memory so that it
+// can be sent again. Longer bodies are streamed after Expect: 100-continue.
+const replayLimit = 64 << 10
+
+// upload is the body of a call.
+type upload struct {
+	request  *http.Request
+	length   int64 // -1 if unknown
+	buffered []byte
+	read     bool        // buffered holds the body
+	consumed atomic.Bool // bytes of a streamed body have been taken
+	failed   atomic.Bool // the caller's side of the upload broke
+}
+
+func (u *upload) init(r *http.Request) {
+	u.request = r
+	u.length = r.ContentLength
+}
+
+func (u *upload) streamed() bool { return u.length < 0 || u.length > replayLimit }
+
+// replayable reports whether the whole body can be sent (again).
+func (u *upload) replayable() bool {
+	return !u.failed.Load() && (!u.streamed() || !u.consumed.Load())
+}
+
+// prepare reads a short body into memory, within the limit. It must be called
+// before attempt.
+func (u *upload) prepare(w http.ResponseWriter, limit time.Duration) error {
+	if u.streamed() || u.read || u.length == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// The recorder of a test has no read deadline; a real connection has.
+	limited := control.SetReadDeadline(time.Now().Add(limit)) == nil
+	u.buffered = make([]byte, u.length)
+	if _, err := io.ReadFull(u.request.Body, u.buffered); err != nil {
+		u.failed.Store(true)
+		return errors.Wrap(err, "request body")
+	}
+	if limited {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	u.read = true
+	return nil
+}
+
+// attempt returns the body for one attempt. It is never nil and the request
+// has no GetBody, so that http.Transport cannot send the request a second time
+// by itself.
+func (u *upload) attempt() *attemptBody {
+	b := &attemptBody{upload: u, rest: u.buffered}
+	if u.streamed() {
+		b.stream = u.request.Body
+	}
+	return b
+}
+
+var errAttemptOver = errors.New("the attempt that read this body is over")
+
+// attemptBody is the view that one attempt has of an upload.
+type attemptBody struct {
+	upload   *upload
+	rest     []byte
+	stream   io.Reader // nil if the body is buffered
+	over     atomic.Bool
+	trailer  http.Header // filled at the end of the stream
+	trailers http.Header // of the caller's request
+}
+
+// Read implements io.Reader.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	if b.over.Load() {
+		return 0, errAttemptOver
+	}
+	if b.stream == nil {
+		return b.readBuffered(p)
+	}
+	b.upload.consumed.Store(true)
+	n, err := b.stream.Read(p)
+	switch {
+	case err == io.EOF:
+		b.copyTrailers()
+	case err != nil:
+		b.upload.failed.Store(true)
+	}
+	return n, err
+}
+
+func (b *attemptBody) readBuffered(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *attemptBody) copyTrailers() {
+	for name := range b.trailer {
+		b.trailer[name] = b.trailers[name]
+	}
+}
+
+// Close implements io.Closer. The caller's body stays open for a later attempt.
+func (b *attemptBody) Close() error {
+	b.over.Store(true)
+	return nil
+}
--- /dev/null
+++ b/internal/node/fake_test.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/devtls"
+	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// fakeMachine forwards customer and downstream calls to member, runs what other
+// nodes send, relays every whole answer and refuses with what it is told.
+type fakeMachine struct {
+	self   mesh.NodeID
+	member mesh.Member
+	hook   func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool)
+
+	hops   map[mesh.CallID]bool
+	mu     sync.Mutex
+	events []engine.Event
+	seen   chan engine.Event // every event but Tick; buffered
+}
+
+const testDeadline = 20 * time.Second
+
+func (m *fakeMachine) Step(_ time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect {
+	if _, tick := ev.(*engine.Tick); !tick {
+		m.mu.Lock()
+		m.events = append(m.events, ev)
+		m.mu.Unlock()
+		select {
+		case m.seen <- ev:
+		default:
+		}
+	}
+	if m.hook != nil {
+		if effects, handled := m.hook(ev, out); handled {
+			return effects
+		}
+	}
+	return append(out, m.decide(ev)...)
+}
+
+func (m *fakeMachine) decide(ev engine.Event) []engine.Effect {
+	hop := engine.Hop{Workspace: "w1", Remaining: testDeadline}
+	load := &engine.Load{InFlight: 1, Cut: mesh.OpenCut}
+	switch e := ev.(type) {
+	case *engine.CallArrived:
+		return []engine.Effect{{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop}}
+	case *engine.ChildArrived:
+		return []engine.Effect{{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop}}
+	case *engine.HopArrived:
+		m.hops[e.Call] = true
+		return []engine.Effect{{Kind: engine.Run, Call: e.Call, Attempt: 1, Remaining: e.Hop.Remaining}}
+	case *engine.Answered:
+		if e.Refusal != nil {
+			return []engine.Effect{{Kind: engine.Refuse, Call: e.Call, Refusal: *e.Refusal}}
+		}
+		effect := engine.Effect{Kind: engine.Relay, Call: e.Call, Attempt: e.Attempt}
+		if m.hops[e.Call] {
+			effect.Load = load
+		}
+		return []engine.Effect{effect}
+	case *engine.AttemptFailed:
+		refusal := outcome.Refusal{Execution: e.Execution, Reason: e.Reason, Node: string(m.self.Host)}
+		return []engine.Effect{{Kind: engine.Refuse, Call: e.Call, Refusal: refusal}}
+	case *engine.CallGone:
+		return []engine.Effect{{Kind: engine.Cancel, Call: e.Call}}
+	case *engine.TicketRequested:
+		return []engine.Effect{{Kind: engine.IssueTicket, Call: e.Call, Ticket: "ticket-1"}}
+	case *engine.StopRequested:
+		return []engine.Effect{{Kind: engine.Stopped}}
+	}
+	return nil
+}
+
+// await returns the next event of the type that has been or will be seen.
+func await[E engine.Event](t testing.TB, m *fakeMachine) E {
+	t.Helper()
+	timeout := time.After(testDeadline)
+	for {
+		select {
+		case ev := <-m.seen:
+			if e, ok := ev.(E); ok {
+				return e
+			}
+		case <-timeout:
+			var zero E
+			t.Fatalf("event %T did not come", zero)
+		}
+	}
+}
+
+// testNode is a started node with its fake machine and URLs.
+type testNode struct {
+	*Node
+	machine        *fakeMachine
+	callers, local string
+	member         mesh.Member
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// startNode starts a node named host. With an authority, callers and peers use
+// TLS. Change may adjust the configuration.
+func startNode(t testing.TB, host mesh.Host, ca *devtls.Authority, change func(*Config)) *testNode {
+	t.Helper()
+	self := mesh.NodeID{Host: host, Incarnation: 7}
+	m := &fakeMachine{self: self, hops: map[mesh.CallID]bool{}, seen: make(chan engine.Event, 1<<12)}
+	cfg := Config{Self: self, Machine: m, Plain: ca == nil,
+		Listeners: Listeners{Callers: listen(t), Local: listen(t), Peers: listen(t)}}
+	scheme := "http://"
+	if ca != nil {
+		cfg.TLS.Peer = must(ca.Peer(host))
+		cfg.TLS.Callers = must(ca.Server(host))
+		scheme = "https://"
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	n := must(New(cfg))
+	n.Start()
+	t.Cleanup(n.Close)
+	return &testNode{
+		Node:    n,
+		machine: m,
+		callers: scheme + cfg.Listeners.Callers.Addr().String(),
+		local:   "http://" + cfg.Listeners.Local.Addr().String(),
+		member:  mesh.Member{Node: self, PeerAddress: cfg.Listeners.Peers.Addr().String()},
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// announce tells the node of its upstream.
+func (n *testNode) announce(t testing.TB, url string) {
+	t.Helper()
+	body := `{"service":"orders","url":"` + url + `","slots":4,"connections":8,"ready":true}`
+	resp := must(http.Post(n.local+"/announce", "application/json", strings.NewReader(body)))
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		t.Fatalf("announcement: %s", resp.Status)
+	}
+}
+
+// pair is an entry node, a serving node and the upstream beside the latter.
+type pair struct{ entry, serving *testNode }
+
+func startPair(t testing.TB, ca *devtls.Authority, upstream http.Handler) pair {
+	t.Helper()
+	server := httptest.NewServer(upstream)
+	t.Cleanup(server.Close)
+	p := pair{entry: startNode(t, "entry", ca, nil), serving: startNode(t, "serving", ca, nil)}
+	p.entry.machine.member = p.serving.member
+	p.serving.machine.member = p.serving.member
+	p.serving.announce(t, server.URL)
+	return p
+}
+
+// client returns an HTTP client with connections of its own.
+func client(t testing.TB, ca *devtls.Authority) *http.Client {
+	t.Helper()
+	transport := &http.Transport{DisableCompression: true}
+	if ca != nil {
+		transport.TLSClientConfig = &tls.Config{RootCAs: ca.Pool()}
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: testDeadline}
+}
+
+func request(t testing.TB, method, url, body string) *http.Request {
+	t.Helper()
+	r := must(http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body)))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	return r
+}
+
+const testKey = "ch_id_secret"
+
+// get returns the answer and its body, and the error of either.
+func do(c *http.Client, r *http.Request) (*http.Response, string, error) {
+	resp, err := c.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
--- /dev/null
+++ b/internal/peer/backoff.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 2 * time.Second
+)
+
+// Backoff yields growing pauses with jitter, so that many nodes that lost the
+// same peer do not return to it at the same moment.
+type Backoff struct {
+	rand  *rand.Rand
+	pause time.Duration
+}
+
+// NewBackoff returns a backoff that starts at its shortest pause.
+func NewBackoff(r *rand.Rand) *Backoff { return &Backoff{rand: r, pause: backoffMin} }
+
+// Next returns a pause between half and the whole of the current one, and
+// doubles it up to the longest.
+func (b *Backoff) Next() time.Duration {
+	p := b.pause/2 + time.Duration(b.rand.Int64N(int64(b.pause/2)+1))
+	b.pause = min(2*b.pause, backoffMax)
+	return p
+}
+
+// Reset returns to the shortest pause after a success.
+func (b *Backoff) Reset() { b.pause = backoffMin }
--- /dev/null
+++ b/internal/peer/receiver.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	serviceName = "Peer"
+	method      = serviceName + ".Deliver"
+	connectPath = "/rpc"
+	accepted    = "200 Connected"
+)
+
+// Receiver accepts net/rpc connections on the peer listener by CONNECT.
+type Receiver struct {
+	deliver  func(mesh.Envelope)
+	messages metrics.Counter
+	bytes    metrics.Counter
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewReceiver returns a receiver that hands every message to deliver, in the
+// order of its connection.
+func NewReceiver(registry metrics.Registry, deliver func(mesh.Envelope)) *Receiver {
+	return &Receiver{
+		deliver:  deliver,
+		messages: metrics.GetOrRegisterCounter("peer.received.messages", registry),
+		bytes:    metrics.GetOrRegisterCounter("peer.received.bytes", registry),
+		conns:    map[net.Conn]struct{}{},
+	}
+}
+
+// ServeHTTP takes over the connection and serves net/rpc on it.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	defer conn.Close()
+	if !r.track(conn) {
+		return
+	}
+	defer r.untrack(conn)
+	if _, err := io.WriteString(conn, "HTTP/1.0 "+accepted+"\r\n\r\n"); err != nil {
+		return
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &endpoint{receiver: r, tls: req.TLS}); err != nil {
+		panic(err) // the method set of endpoint is fixed
+	}
+	server.ServeConn(&countedConn{Conn: conn, read: r.bytes})
+}
+
+func (r *Receiver) track(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.conns[conn] = struct{}{}
+	return true
+}
+
+func (r *Receiver) untrack(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, conn)
+}
+
+// Close closes all connections.
+func (r *Receiver) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for conn := range r.conns {
+		conn.Close()
+	}
+}
+
+// endpoint is the rpc service of one connection.
+type endpoint struct {
+	receiver *Receiver
+	tls      *tls.ConnectionState
+}
+
+// Ack is the empty reply of Deliver.
+type Ack struct{}
+
+// Deliver takes a batch. The whole batch is refused if one message names a
+// sender that the connection's certificate does not name.
+func (e *endpoint) Deliver(batch []mesh.Envelope, _ *Ack) error {
+	for i := range batch {
+		if err := CheckIdentity(e.tls, batch[i].From.Host); err != nil {
+			return err
+		}
+		if batch[i].Message == nil {
+			return errors.Errorf("envelope %d of %s has no message", i, batch[i].From)
+		}
+	}
+	e.receiver.messages.Inc(int64(len(batch)))
+	for i := range batch {
+		e.receiver.deliver(batch[i])
+	}
+	return nil
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	read, written metrics.Counter // nil: not counted
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.read != nil {
+		c.read.Inc(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.written != nil {
+		c.written.Inc(int64(n))
+	}
+	return n, err
+}
