--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,6 +18,7 @@
 	DefaultFanout     = 4
 	DefaultRounds     = 3
 	DefaultInterval   = 200 * time.Millisecond
+	DefaultUnfolded   = 5 * time.Minute
 )
 
 // Config sets the bounds of a Directory. A zero field takes its default.
@@ -29,6 +30,9 @@
 	Fanout     int           // peers told per round
 	Rounds     int           // rounds in which one update is told
 	Interval   time.Duration // between rounds, and between questions to seeds
+	// Unfolded is how long a member known only from peers is kept while the log
+	// is in reach: by then a live node has repeated its join there.
+	Unfolded time.Duration
 	// Seeds are asked while the directory knows no other member. A seed whose
 	// incarnation is unknown has incarnation zero; Lookup resolves its address.
 	Seeds []mesh.Member
