--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -81,8 +81,9 @@
 			t.Fatalf("members %v, want %v alone", d.Service(m.Service), m.Node)
 		}
 	}
+	hear(Update{Member: next, Counter: 1})
 	d.Fold([]mesh.Member{self, old})
-	only(old)
+	only(old) // the log has not said yet which one is newer
 	d.Fold([]mesh.Member{self, next})
 	only(next)
 	hear(Update{Member: old, Counter: 9})
@@ -120,7 +121,7 @@
 	d, at := New(member(0, 1), Config{Seeds: members(3)[2:]}), New(live, Config{})
 	d.Tick(0, nil)
 	d.Deliver(0, live.Node, Spread{Updates: []Update{{Member: live, Counter: 0}}}, nil)
-	out := d.Deliver(0, member(2, 3).Node, Roster{Updates: []Update{{Member: dead, Counter: 0}}}, nil)
+	out := d.Deliver(0, member(2, 3).Node, Roster{Updates: []Update{{Member: dead, Counter: 3}}}, nil)
 	if !has(d, dead) || len(out) != 1 || out[0].To.Host != live.Node.Host {
 		t.Fatalf("the conflict was not put to the host: %v", out)
 	}
