--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -11,7 +11,9 @@
 	standingAfter  = 100 * time.Millisecond // time above the target from which a queue is standing
 	targetGaps     = 4                      // the target covers at least so many gaps between completions
 	deadlineMargin = 1.0                    // expected latency that must be left before the deadline
-	boundedQueue   = 2                      // time in a standing queue, in turns of all waiting workspaces
+	boundedTurns   = 2                      // time in a standing queue, in turns of all waiting workspaces
+	boundedWait    = 200 * time.Millisecond // longest time in a standing queue
+	gapWindow      = 16                     // calls over which the gap of a class is averaged
 )
 
 // Controller is the admission control of one upstream. It is not safe for
@@ -33,6 +35,18 @@
 type standing struct {
 	above   time.Duration // since when the oldest call is over the target; negative means it is not
 	dropped time.Duration // last call dropped by age
+	run     time.Duration // last call of the class that ran
+	gap     time.Duration // mean time between two calls of the class that run
+}
+
+func (s *standing) ran(now time.Duration) {
+	s.gap += (now - s.run - s.gap) / gapWindow
+	s.run = now
+}
+
+// turn returns the time in which each of the waiting workspaces gets a turn.
+func (s *standing) turn(now time.Duration, workspaces int) time.Duration {
+	return boundedTurns * max(s.gap, now-s.run) * time.Duration(workspaces+1)
 }
 
 // New returns a controller of an upstream that has just started.
@@ -51,6 +65,7 @@
 func (c *Controller) Restarted(now time.Duration) {
 	c.limiter = newLimiter(c.cfg.InitialLimit, c.bound())
 	c.limiter.win.start = now
+	c.limiter.since = now
 }
 
 // SetWeights replaces the fair-share weights of the workspaces.
@@ -101,9 +116,9 @@
 	}
 	if c.queue.queued >= c.maxQueue() && !c.makeRoom(r.Class, f) {
 		c.queue.flows[f].counts[r.Class].refused++
-		c.cut.refused++
 		return Refuse, outcome.Overloaded
 	}
+	c.limiter.win.blocked = true
 	c.queue.push(c.queue.add(r, f, now))
 	return Queue, outcome.None
 }
@@ -173,7 +188,6 @@
 	q := &c.queue
 	step := Step{Call: q.calls[i].id, Decision: Refuse, Reason: reason}
 	q.flows[q.calls[i].flow].counts[q.calls[i].class].refused++
-	c.cut.refused++
 	q.unlink(i)
 	q.remove(i)
 	return step
@@ -186,6 +200,7 @@
 	call.at = now
 	call.inFlight = int32(c.inFlight)
 	c.queue.charge(i)
+	c.standing[call.class].ran(now)
 	c.limiter.started(c.inFlight)
 }
 
@@ -250,6 +265,7 @@
 		}
 	}
 	if c.inFlight >= c.allowed() {
+		c.limiter.win.blocked = true
 		return Step{}, false
 	}
 	i := c.head()
@@ -309,8 +325,8 @@
 		if !c.newest[class] {
 			continue
 		}
-		turns := boundedQueue * gap * time.Duration(c.queue.busy(mesh.Class(class))+1)
-		if i != none && now-c.queue.calls[i].at > max(target, turns) {
+		bound := max(target, min(s.turn(now, c.queue.busy(mesh.Class(class))), boundedWait))
+		if i != none && now-c.queue.calls[i].at > bound {
 			s.dropped = now
 			return i
 		}
--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -9,8 +9,9 @@
 const (
 	cutWindow      = 50 * time.Millisecond
 	cutTightenOver = 0.08 // refused part of the queue's arrivals from which the cut tightens
+	cutLoosenUnder = 0.02 // refused part of the least refused workspace up to which it loosens
 	cutAim         = 0.04 // refused part that a tightened cut leaves, so that slots never idle
-	cutCalm        = 2    // windows without refusals before the cut loosens
+	cutCalm        = 2    // windows without pressure before the cut loosens
 	cutFirstShare  = mesh.CutScale / 8
 	cutMemory      = 0.7 // weight of the past in the counts
 	cutMinArrivals = 4   // arrivals from which a workspace's counts have a say
@@ -22,14 +23,13 @@
 
 // cutState derives the published cut from what the queue has to refuse.
 type cutState struct {
-	cut     mesh.Cut
-	at      time.Duration
-	calm    int  // windows without refusals
-	refused int  // refusals of the queue in this window
-	idle    bool // slots were free during the whole window
+	cut  mesh.Cut
+	at   time.Duration
+	calm int  // windows without pressure
+	idle bool // slots were free during the whole window
 }
 
-// updateCut ends a window. The dead band between no refusals at all and
+// updateCut ends a window. The dead band between cutLoosenUnder and
 // cutTightenOver is the hysteresis.
 func (c *Controller) updateCut(now time.Duration) {
 	s := &c.cut
@@ -43,7 +43,7 @@
 		s.calm = 0
 		c.tighten(class, refused)
 		c.forgetCounts()
-	case s.refused > 0:
+	case refused > cutLoosenUnder:
 		s.calm = 0
 	default:
 		s.calm++
@@ -51,7 +51,6 @@
 			c.loosen()
 		}
 	}
-	s.refused = 0
 	s.idle = true
 }
 
@@ -81,7 +80,7 @@
 		}
 	}
 	for class := range least {
-		if some[class] && least[class] > cutTightenOver {
+		if some[class] && least[class] > cutLoosenUnder {
 			return mesh.Class(class), least[class]
 		}
 	}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -10,18 +10,20 @@
 	minWindow       = 50 * time.Millisecond
 	maxWindow       = time.Second
 	minSamples      = 16
-	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
-	maxVerify       = 200 // samples after which a verification is decided in any case
-	verifyFactor    = 0.7 // limit during a verification, of the limit before
-	growBelow       = 1.1 // own time over base up to which the limit grows
-	verifyAbove     = 1.3 // own time over base from which congestion is verified
-	kneeMargin      = 1.1 // limit over the estimated knee, keeps the slots busy
-	baseGain        = 0.3 // weight of a window that is faster than the base
-	clearlyFaster   = 0.8 // own time over base from which the base is replaced at once
-	significance    = 2.0 // standard errors
-	fullShare       = 0.9 // part of the limit from which a window counts as full
+	settleTimes     = 2               // latencies until a sample is free of bias to calls that end early
+	maxVerify       = 100             // samples after which a verification is decided in any case
+	verifyFactor    = 0.7             // limit during a verification, of the limit before
+	growBelow       = 1.1             // own time over base up to which the limit grows
+	verifyAbove     = 1.3             // own time over base from which congestion is verified
+	kneeMargin      = 1.1             // limit over the estimated knee, keeps the slots busy
+	baseMemory      = 256             // samples over which the base is averaged
+	clearlyFaster   = 0.8             // own time over base from which the base is replaced at once
+	clearNoise      = 3.0             // standard errors of a clear fall
+	recalibrate     = 5 * time.Second // saturation after which the base is measured again
+	significance    = 2.0             // standard errors
+	fullShare       = 0.9             // part of the limit from which a window counts as full
 	minHold         = 100 * time.Millisecond
-	maxHold         = 500 * time.Millisecond
+	maxHold         = time.Second
 	shedSlotHold    = 100 * time.Millisecond // longest time a shed call's slot stays unused
 	serviceGain     = 0.05
 	serviceHalfLife = 500 * time.Millisecond
@@ -36,19 +38,22 @@
 // waiting for downstream calls is left out of own time: it depends on the limit
 // of another upstream.
 type limiter struct {
-	limit   float64
-	step    float64 // next growth; doubles while growth causes no harm
-	bound   float64 // reported slots or configured bound
-	base    float64 // own time without congestion, ns
-	win     window
-	since   time.Duration // only calls that started since count
-	verify  verification
-	hold    time.Duration // pause after a refusal by the upstream
-	growAt  time.Duration // no growth before
-	service float64       // expected latency of a call, ns
-	sampled time.Duration // time of the last latency sample
-	held    int           // slots of shed calls that are not yet reused
-	heldAt  time.Duration
+	limit      float64
+	step       float64 // next growth; doubles while growth causes no harm
+	bound      float64 // reported slots or configured bound
+	base       float64 // own time without congestion, ns
+	baseWeight float64 // samples in the base
+	win        window
+	since      time.Duration // only calls that started since count
+	verify     verification
+	suspected  bool          // the last window looked congested
+	openSince  time.Duration // since when calls wait while the limit could still grow
+	hold       time.Duration // pause after a refusal by the upstream
+	growAt     time.Duration // no growth before
+	service    float64       // expected latency of a call, ns
+	sampled    time.Duration // time of the last latency sample
+	held       int           // slots of shed calls that are not yet reused
+	heldAt     time.Duration
 }
 
 // window collects samples between two decisions.
@@ -56,7 +61,8 @@
 	start   time.Duration
 	n       int
 	sum, sq float64
-	peak    int // most calls in flight
+	peak    int  // most calls in flight
+	blocked bool // a call had to wait for the limit
 	shed    int
 }
 
@@ -155,45 +161,57 @@
 	}
 	full := float64(l.win.peak) >= fullShare*math.Floor(l.limit)
 	l.rebase(mean, deviation, full)
+	congested := mean-significance*deviation > verifyAbove*l.base
+	if !l.win.blocked || l.limit >= l.bound {
+		l.openSince = now
+	}
 	switch {
 	case l.win.shed > 0:
 		l.hold = min(2*l.hold, maxHold)
-	case mean-significance*deviation > verifyAbove*l.base:
-		l.suspect(now, mean, full)
-	case full && mean-deviation <= growBelow*l.base && now >= l.growAt:
+	case congested && !full:
+		l.setBase(mean)
+	case congested && l.suspected, now-l.openSince >= recalibrate:
+		l.startVerify(now, mean)
+	case l.win.blocked && mean-deviation <= growBelow*l.base && now >= l.growAt:
 		l.grow()
 	}
+	l.suspected = congested && !l.verify.active
 	return true
 }
 
 // rebase follows the own time without congestion. Below the limit it follows in
-// both directions; at the limit only a clear fall counts, because a slow rise
-// may come from the limit itself and would raise limit and base in turn.
+// both directions: a rise cannot come from the limit. At the limit it follows
+// only what is within the noise, and recalibration corrects the drift.
 func (l *limiter) rebase(mean, deviation float64, full bool) {
 	switch {
-	case l.base == 0, mean+significance*deviation < clearlyFaster*l.base:
-		l.base = mean
-	case !full, mean+significance*deviation < l.base:
-		l.base += baseGain * (mean - l.base)
+	case l.base == 0, mean+clearNoise*deviation < clearlyFaster*l.base:
+		l.setBase(mean)
+	case !full, mean-significance*deviation < l.base:
+		l.baseWeight = min(l.baseWeight+float64(l.win.n), baseMemory)
+		l.base += float64(l.win.n) / l.baseWeight * (mean - l.base)
 	}
 }
 
-// suspect starts a verification. A rise of own time below the limit cannot come
-// from the limit, so it becomes the base at once.
-func (l *limiter) suspect(now time.Duration, own float64, full bool) {
-	if !full {
-		l.base = own
-		return
-	}
+func (l *limiter) setBase(own float64) {
+	l.base = own
+	l.baseWeight = float64(l.win.n)
+}
+
+// startVerify lowers the limit for a moment. The own time to compare with must
+// come from a window that was not picked for being slow, so the window that
+// raised the suspicion does not count.
+func (l *limiter) startVerify(now time.Duration, own float64) {
 	l.verify = verification{active: true, limit: l.limit, own: own}
 	l.since = now
+	l.openSince = now
 	l.limit *= verifyFactor
 	l.clamp()
 }
 
-// verified ends a verification once the own time at the lower limit is clearly
-// on one side of the midpoint between "in proportion to the limit" and
-// "independent of it".
+// verified ends a verification. The limit falls only on clear evidence that own
+// time fell with it, and by no more than own time fell: a limit that is too high
+// costs latency, one that is too low costs goodput. Without such evidence the
+// service is slower, and its own time is the new base.
 func (l *limiter) verified(mean, deviation float64) bool {
 	before := l.verify
 	midpoint := before.own * (1 + l.limit/before.limit) / 2
@@ -202,12 +220,13 @@
 	}
 	l.verify = verification{}
 	l.step = 1
-	if mean >= midpoint {
-		l.base = mean
+	if mean+significance*deviation >= midpoint {
+		l.setBase(mean)
 		l.limit = before.limit
 		return true
 	}
-	l.limit = min(kneeMargin*before.limit*l.base/before.own, before.limit)
+	l.limit = min(kneeMargin*mean/before.own, 1) * before.limit
+	l.setBase(min(l.base, mean))
 	l.clamp()
 	return true
 }
