--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -109,13 +109,13 @@
 		return Refuse, outcome.DeadlineExceeded
 	}
 	f := c.queue.flowOf(r.Workspace)
-	c.queue.flows[f].counts[r.Class].arrived++
+	c.countArrival(now, f, r.Class)
 	if c.queue.queued == 0 && c.inFlight < c.allowed() {
 		c.run(now, c.queue.add(r, f, now))
 		return Run, outcome.None
 	}
 	if c.queue.queued >= c.maxQueue() && !c.makeRoom(r.Class, f) {
-		c.queue.flows[f].counts[r.Class].refused++
+		c.countRefusal(now, f, r.Class)
 		return Refuse, outcome.Overloaded
 	}
 	c.limiter.win.blocked = true
@@ -187,7 +187,7 @@
 func (c *Controller) refuse(i int32, reason outcome.Reason) Step {
 	q := &c.queue
 	step := Step{Call: q.calls[i].id, Decision: Refuse, Reason: reason}
-	q.flows[q.calls[i].flow].counts[q.calls[i].class].refused++
+	c.countRefusal(q.calls[i].at, q.calls[i].flow, q.calls[i].class)
 	q.unlink(i)
 	q.remove(i)
 	return step
--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	cutWindow      = 50 * time.Millisecond
+	cutWindow      = 20 * time.Millisecond
 	cutTightenOver = 0.08 // refused part of the queue's arrivals from which the cut tightens
 	cutLoosenUnder = 0.02 // refused part of the least refused workspace up to which it loosens
 	cutAim         = 0.04 // refused part that a tightened cut leaves, so that slots never idle
-	cutCalm        = 2    // windows without pressure before the cut loosens
+	cutCalm        = 4    // windows without pressure before the cut loosens
 	cutFirstShare  = mesh.CutScale / 8
-	cutMemory      = 0.7 // weight of the past in the counts
-	cutMinArrivals = 4   // arrivals from which a workspace's counts have a say
+	cutMaxStep     = 0.5                   // smallest factor by which one step tightens the share
+	cutSettle      = 60 * time.Millisecond // until calls arrive under a changed cut
+	cutMemory      = 0.9                   // weight of the past in the counts
+	cutMinArrivals = 8                     // arrivals from which a workspace's counts have a say
 )
 
 // counts are decayed sums of one workspace's queue arrivals and refusals in one
@@ -23,10 +25,11 @@
 
 // cutState derives the published cut from what the queue has to refuse.
 type cutState struct {
-	cut  mesh.Cut
-	at   time.Duration
-	calm int  // windows without pressure
-	idle bool // slots were free during the whole window
+	cut       mesh.Cut
+	at        time.Duration
+	calm      int           // windows without pressure
+	idle      bool          // slots were free during the whole window
+	countFrom time.Duration // calls that arrived before came under another cut
 }
 
 // updateCut ends a window. The dead band between cutLoosenUnder and
@@ -39,15 +42,17 @@
 	s.at = now
 	class, refused := c.pressure()
 	switch {
+	case now < s.countFrom && !s.idle:
 	case refused > cutTightenOver && class <= s.cut.Class:
 		s.calm = 0
 		c.tighten(class, refused)
 		c.forgetCounts()
+		s.countFrom = now + cutSettle
 	case refused > cutLoosenUnder:
 		s.calm = 0
 	default:
 		s.calm++
-		if s.calm >= cutCalm {
+		if s.idle || s.calm >= cutCalm {
 			c.loosen()
 		}
 	}
@@ -94,21 +99,34 @@
 	}
 }
 
+// countArrival and countRefusal count a call that arrived at the given time.
+func (c *Controller) countArrival(at time.Duration, flow int32, class mesh.Class) {
+	if at >= c.cut.countFrom {
+		c.queue.flows[flow].counts[class].arrived++
+	}
+}
+
+func (c *Controller) countRefusal(at time.Duration, flow int32, class mesh.Class) {
+	if at >= c.cut.countFrom {
+		c.queue.flows[flow].counts[class].refused++
+	}
+}
+
 func (c *Controller) tighten(class mesh.Class, refused float64) {
 	cut := &c.cut.cut
 	if class < cut.Class {
 		*cut = mesh.Cut{Class: class, Share: mesh.CutScale}
 	}
-	share := float64(cut.Share) * (1 - refused + cutAim)
+	share := float64(cut.Share) * max(1-refused+cutAim, cutMaxStep)
 	cut.Share = uint16(min(max(share, 1), mesh.CutScale))
 }
 
 // loosen opens the cut step by step, faster while slots are free.
 func (c *Controller) loosen() {
 	cut := &c.cut.cut
-	share := int(cut.Share) + int(cut.Share)/8 + cutFirstShare/4
+	share := int(cut.Share) + int(cut.Share)/16 + cutFirstShare/8
 	if c.cut.idle {
-		share = 2*int(cut.Share) + cutFirstShare
+		share = 2*int(cut.Share) + 2*cutFirstShare
 	}
 	switch {
 	case share < mesh.CutScale:
