--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -107,12 +107,11 @@
 	return "http://" + l.Addr().String()
 }
 
-// Guards against a second execution by http.Transport, which sends an
-// idempotent request again when a reused connection breaks. Fails if attempts
-// have a nil body.
-func TestTransportDoesNotResend(t *testing.T) {
-	var received atomic.Int64
-	url := rawUpstream(t, func(conn net.Conn) {
+// breaksReused answers the first request of a connection and breaks the
+// connection after it has received the second.
+func breaksReused(t *testing.T) (url string, received *atomic.Int64) {
+	received = &atomic.Int64{}
+	url = rawUpstream(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		for first := true; ; first = false {
 			r, err := http.ReadRequest(reader)
@@ -122,11 +121,18 @@
 			io.Copy(io.Discard, r.Body)
 			received.Add(1)
 			if !first {
-				return // breaks the reused connection after the request arrived
+				return
 			}
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
+	return url, received
+}
+
+// Guards against a second execution by http.Transport, which sends an
+// idempotent request again when a reused connection breaks.
+func TestTransportDoesNotResend(t *testing.T) {
+	url, received := breaksReused(t)
 	for _, method := range []string{"GET", "POST", "HEAD"} {
 		received.Store(0)
 		p := startPair(t, nil, http.NotFoundHandler())
@@ -148,6 +154,34 @@
 	}
 }
 
+// Guards against attempts with a nil body, with the body alone: without the
+// trace that would cancel a second sending.
+func TestAttemptBodyPreventsResend(t *testing.T) {
+	url, received := breaksReused(t)
+	n := startNode(t, "entry", nil, nil)
+	for _, method := range []string{"GET", "POST", "HEAD"} {
+		received.Store(0)
+		transport := newTransport()
+		t.Cleanup(transport.CloseIdleConnections)
+		send := func() error {
+			r := request(t, method, url+"/x", "")
+			r.Header.Set("Idempotency-Key", "k")
+			c := n.newCall(nil, r, *r.URL)
+			resp, err := transport.RoundTrip(c.request(t.Context(), &attempt{url: c.target, header: c.header}))
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err
+		}
+		if err := send(); err != nil {
+			t.Fatal(err)
+		}
+		if err := send(); err == nil || received.Load() != 2 {
+			t.Fatalf("%s: upstream received %d requests for 2 attempts; second: %v", method, received.Load(), err)
+		}
+	}
+}
+
 // Guards against a claim of "not run" without proof, and against a proof that
 // is not used.
 func TestNotRunOnlyOnProof(t *testing.T) {
