--- /dev/null
+++ b/internal/node/loops_test.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/logservice"
+)
+
+// scriptedLog serves records from first to head and fails as often as told.
+type scriptedLog struct {
+	first, head uint64
+	failures    int
+	reads       []uint64
+	appended    []string
+	delay       time.Duration
+}
+
+var (
+	errDown      = errors.New("log is down")
+	errTruncated = errors.New("truncated")
+)
+
+func (l *scriptedLog) Append(_ context.Context, stream string, data []byte) (uint64, error) {
+	l.appended = append(l.appended, stream+" "+string(data))
+	if string(data) == "bad" {
+		return 0, errDown
+	}
+	return 1, nil
+}
+
+func (l *scriptedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
+	if stream == snapshotsStream {
+		return logservice.Page{Records: []logservice.Record{{Offset: from, Data: []byte{byte(from)}}}, Head: 9}, nil
+	}
+	l.reads = append(l.reads, from)
+	time.Sleep(l.delay)
+	if l.failures > 0 {
+		l.failures--
+		return logservice.Page{}, errDown
+	}
+	if from < l.first {
+		return logservice.Page{}, errTruncated
+	}
+	if from == l.head {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		return logservice.Page{Head: l.head}, ctx.Err()
+	}
+	return logservice.Page{Records: []logservice.Record{{Offset: from}}, First: l.first, Head: l.head}, nil
+}
+
+// loopNode starts a node without listeners, so that it can run in virtual time.
+func loopNode(log logservice.Client) (*Node, *fakeMachine) {
+	m := &fakeMachine{seen: make(chan engine.Event, 1<<12)}
+	n := must(New(Config{Machine: m, Plain: true, Log: log, Truncated: func(err error) (uint64, bool) {
+		return 5, err == errTruncated
+	}}))
+	n.Start()
+	return n, m
+}
+
+// Guards against reads that skip or repeat records, are dated after they were
+// asked, hammer a log that is down, or never recover from dropped records.
+func TestLogReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &scriptedLog{first: 5, head: 7, failures: 3, delay: 10 * time.Millisecond}
+		n, m := loopNode(log)
+		time.Sleep(3 * time.Second)
+		n.Close()
+		want := []uint64{0, 0, 0, 0, 5, 6, 7, 7}
+		if len(log.reads) < len(want) || len(log.reads) > len(want)+2 {
+			t.Fatalf("reads at %v, want about %v", log.reads, want)
+		}
+		for i := range want {
+			if log.reads[i] != want[i] {
+				t.Fatalf("reads at %v, want %v first", log.reads, want)
+			}
+		}
+		var failed, records int
+		var snapshot []byte
+		for _, ev := range m.events {
+			switch e := ev.(type) {
+			case *engine.LogFailed:
+				failed++
+			case *engine.SnapshotRead:
+				snapshot = e.Data
+			case *engine.LogRead:
+				records += len(e.Page.Records)
+				if n.now()-e.AskedAt < log.delay {
+					t.Errorf("read at %d is dated %s, after it was sent", e.From, e.AskedAt)
+				}
+			}
+		}
+		if failed != 4 || records != 2 || len(snapshot) != 1 || snapshot[0] != 8 {
+			t.Fatalf("%d failures, %d records, snapshot %v; want 4, 2 and that at offset 8", failed, records, snapshot)
+		}
+	})
+}
+
+// Guards against an append without a result, a second try of one append, and a
+// tick that does not come.
+func TestAppendsAndTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &scriptedLog{}
+		m := &fakeMachine{seen: make(chan engine.Event, 1<<12)}
+		ticks := 0
+		m.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+			if _, ok := ev.(*engine.Tick); ok {
+				if ticks++; ticks == 1 {
+					out = append(out, engine.Effect{Kind: engine.Append, AppendID: "a", Data: []byte("bad")},
+						engine.Effect{Kind: engine.AppendSnapshot, AppendID: "b", Data: []byte("good")})
+				}
+			}
+			return out, true
+		}
+		n := must(New(Config{Machine: m, Plain: true, Log: log}))
+		n.Start()
+		time.Sleep(time.Second + engine.TickInterval/2)
+		n.Close()
+		if ticks != int(time.Second/engine.TickInterval) {
+			t.Errorf("%d ticks in a second", ticks)
+		}
+		results := map[string]error{}
+		for _, ev := range m.events {
+			if e, ok := ev.(*engine.AppendEnded); ok {
+				results[e.Token] = e.Err
+			}
+		}
+		if len(results) != 2 || results["a"] != errDown || results["b"] != nil {
+			t.Errorf("results %v", results)
+		}
+		if len(log.appended) != 2 || log.appended[0] != "config bad" || log.appended[1] != "snapshots good" {
+			t.Errorf("appended %v", log.appended)
+		}
+	})
+}
+
+// Guards against effects that overtake each other, and against a deadlock when
+// executing an effect feeds a new event to the machine.
+func TestEffectsKeepTheirOrder(t *testing.T) {
+	var order []string
+	m := &fakeMachine{}
+	m.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+		if e, ok := ev.(*engine.KeyWithdrawn); ok {
+			return append(out, engine.Effect{Kind: engine.Decided, AppendID: e.ID + "1"},
+				engine.Effect{Kind: engine.Decided, AppendID: e.ID + "2"}), true
+		}
+		return out, true
+	}
+	var n *Node
+	n = must(New(Config{Machine: m, Plain: true, Decided: func(token string, _ *engine.Decision) {
+		order = append(order, token)
+		if token == "a1" {
+			n.Step(&engine.KeyWithdrawn{ID: "b"})
+		}
+	}}))
+	n.Step(&engine.KeyWithdrawn{ID: "a"})
+	if len(order) != 4 || order[1] != "a2" || order[2] != "b1" || order[3] != "b2" {
+		t.Fatalf("effects were executed as %v", order)
+	}
+}
