--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -4,7 +4,6 @@
 package timeline
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"cardamomhatch/internal/mesh"
@@ -75,17 +74,3 @@
 	Reason    outcome.Reason
 	Value     int64
 }
-
-// MarshalJSON implements json.Marshaler.
-func (k Kind) MarshalJSON() ([]byte, error) { return json.Marshal(k.String()) }
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (k *Kind) UnmarshalJSON(data []byte) error {
-	var s string
-	if err := json.Unmarshal(data, &s); err != nil {
-		return err
-	}
-	parsed, err := ParseKind(s)
-	*k = parsed
-	return err
-}
--- /dev/null
+++ b/internal/timeline/format.go
@@ -0,0 +1,227 @@
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// maxLine bounds one line of a timeline or expectation file, in bytes.
+const maxLine = 64 << 10
+
+// Filter selects events. A zero field selects all.
+type Filter struct {
+	Action    mesh.ActionID
+	Workspace mesh.Workspace
+	Host      mesh.Host
+	Kinds     []Kind
+}
+
+// Match reports whether the filter selects the event.
+func (f Filter) Match(e Event) bool {
+	return (f.Action == 0 || f.Action == e.Action) &&
+		(f.Workspace == "" || f.Workspace == e.Workspace) &&
+		(f.Host == "" || f.Host == e.Host) &&
+		(len(f.Kinds) == 0 || slices.Contains(f.Kinds, e.Kind))
+}
+
+// Select returns the events that the filter selects, in their order.
+func Select(events []Event, f Filter) []Event {
+	var selected []Event
+	for _, e := range events {
+		if f.Match(e) {
+			selected = append(selected, e)
+		}
+	}
+	return selected
+}
+
+// line is the JSON form of an event. The action is hexadecimal text, since
+// readers that hold numbers as float64 would round it.
+type line struct {
+	Wall      int64          `json:"wall"`
+	Logical   uint32         `json:"logical,omitempty"`
+	Host      mesh.Host      `json:"host"`
+	Kind      string         `json:"kind"`
+	Action    string         `json:"action,omitempty"`
+	Workspace mesh.Workspace `json:"workspace,omitempty"`
+	Service   mesh.Service   `json:"service,omitempty"`
+	Reason    string         `json:"reason,omitempty"`
+	Value     int64          `json:"value,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (e Event) MarshalJSON() ([]byte, error) {
+	l := line{
+		Wall:      e.Stamp.Wall,
+		Logical:   e.Stamp.Logical,
+		Host:      e.Host,
+		Kind:      e.Kind.String(),
+		Workspace: e.Workspace,
+		Service:   e.Service,
+		Value:     e.Value,
+	}
+	if e.Action != 0 {
+		l.Action = formatAction(e.Action)
+	}
+	if e.Reason != outcome.None {
+		l.Reason = e.Reason.String()
+	}
+	return json.Marshal(l)
+}
+
+// UnmarshalJSON implements json.Unmarshaler. An unknown field is an error.
+func (e *Event) UnmarshalJSON(data []byte) error {
+	var l line
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&l); err != nil {
+		return err
+	}
+	*e = Event{
+		Stamp:     Stamp{Wall: l.Wall, Logical: l.Logical},
+		Host:      l.Host,
+		Workspace: l.Workspace,
+		Service:   l.Service,
+		Value:     l.Value,
+	}
+	var err error
+	e.Kind, err = ParseKind(l.Kind)
+	if l.Action != "" && err == nil {
+		e.Action, err = ParseAction(l.Action)
+	}
+	if l.Reason != "" && err == nil {
+		e.Reason, err = parseReason(l.Reason)
+	}
+	return err
+}
+
+func formatAction(a mesh.ActionID) string { return strconv.FormatUint(uint64(a), 16) }
+
+// ParseAction reads an action as timelines write it, in hexadecimal.
+func ParseAction(s string) (mesh.ActionID, error) {
+	n, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("action %q is not a hexadecimal number of 64 bits", s)
+	}
+	return mesh.ActionID(n), nil
+}
+
+// reasonsByName is the inverse of outcome.Reason.String.
+var reasonsByName = func() map[string]outcome.Reason {
+	names := map[string]outcome.Reason{}
+	for r := outcome.None; !strings.HasPrefix(r.String(), "reason("); r++ {
+		names[r.String()] = r
+	}
+	return names
+}()
+
+func parseReason(s string) (outcome.Reason, error) {
+	r, ok := reasonsByName[s]
+	if !ok {
+		return 0, fmt.Errorf("reason %q does not exist", s)
+	}
+	return r, nil
+}
+
+// String formats the event as one line of text.
+func (e Event) String() string {
+	var b strings.Builder
+	b.WriteString(e.Stamp.String())
+	fmt.Fprintf(&b, " %s %s", plain(string(e.Host)), e.Kind)
+	if e.Action != 0 {
+		b.WriteString(" action=" + formatAction(e.Action))
+	}
+	if e.Workspace != "" {
+		b.WriteString(" workspace=" + plain(string(e.Workspace)))
+	}
+	if e.Service != "" {
+		b.WriteString(" service=" + plain(string(e.Service)))
+	}
+	if e.Reason != outcome.None {
+		b.WriteString(" reason=" + e.Reason.String())
+	}
+	if e.Value != 0 {
+		b.WriteString(" value=" + strconv.FormatInt(e.Value, 10))
+	}
+	return b.String()
+}
+
+// String formats the stamp as UTC time with microseconds and logical part.
+func (s Stamp) String() string {
+	return fmt.Sprintf("%s+%d", time.Unix(0, s.Wall).UTC().Format("2006-01-02T15:04:05.000000Z"), s.Logical)
+}
+
+// plain quotes a name that could be mistaken for several fields or lines.
+func plain(s string) string {
+	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '"' || r == 0x7f }) {
+		return strconv.Quote(s)
+	}
+	return s
+}
+
+// WriteText writes one line of text per event.
+func WriteText(w io.Writer, events []Event) error {
+	b := bufio.NewWriter(w)
+	for _, e := range events {
+		fmt.Fprintln(b, e)
+	}
+	return b.Flush()
+}
+
+// WriteJSON writes one JSON object per line and event.
+func WriteJSON(w io.Writer, events []Event) error {
+	b := bufio.NewWriter(w)
+	encoder := json.NewEncoder(b)
+	for _, e := range events {
+		if err := encoder.Encode(e); err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+// ReadJSON reads what WriteJSON wrote; empty lines are skipped. An error names
+// the line.
+func ReadJSON(r io.Reader) ([]Event, error) {
+	var events []Event
+	err := eachLine(r, func(_ int, text string) error {
+		var e Event
+		if err := json.Unmarshal([]byte(text), &e); err != nil {
+			return err
+		}
+		events = append(events, e)
+		return nil
+	})
+	return events, err
+}
+
+// eachLine calls f with each line that is not empty after trimming.
+func eachLine(r io.Reader, f func(number int, text string) error) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	number := 0
+	for scanner.Scan() {
+		number++
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" {
+			continue
+		}
+		if err := f(number, text); err != nil {
+			return fmt.Errorf("line %d: %w", number, err)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("line %d: %w", number+1, err)
+	}
+	return nil
+}
