--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -10,18 +10,19 @@
 	minWindow       = 50 * time.Millisecond
 	maxWindow       = time.Second
 	minSamples      = 16
-	settleTimes     = 2               // latencies until a sample is free of bias to calls that end early
-	maxVerify       = 100             // samples after which a verification is decided in any case
-	verifyFactor    = 0.7             // limit during a verification, of the limit before
-	growBelow       = 1.1             // own time over base up to which the limit grows
-	verifyAbove     = 1.3             // own time over base from which congestion is verified
-	kneeMargin      = 1.1             // limit over the estimated knee, keeps the slots busy
-	baseMemory      = 256             // samples over which the base is averaged
-	clearlyFaster   = 0.8             // own time over base from which the base is replaced at once
-	clearNoise      = 3.0             // standard errors of a clear fall
-	recalibrate     = 5 * time.Second // saturation after which the base is measured again
-	significance    = 2.0             // standard errors
-	fullShare       = 0.9             // part of the limit from which a window counts as full
+	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
+	maxVerify       = 100 // samples after which a verification is decided in any case
+	verifyFactor    = 0.7 // limit during a verification, of the limit before
+	growBelow       = 1.1 // own time over base up to which the limit grows
+	verifyAbove     = 1.3 // own time over base from which congestion is verified
+	kneeMargin      = 1.1 // limit over the estimated knee, keeps the slots busy
+	baseMemory      = 256 // samples over which the base is averaged
+	clearlyFaster   = 0.8 // own time over base from which the base is replaced at once
+	clearNoise      = 3.0 // standard errors of a clear fall
+	minRecalibrate  = time.Second
+	maxRecalibrate  = 8 * time.Second
+	significance    = 2.0 // standard errors
+	fullShare       = 0.9 // part of the limit from which a window counts as full
 	minHold         = 100 * time.Millisecond
 	maxHold         = time.Second
 	shedSlotHold    = 100 * time.Millisecond // longest time a shed call's slot stays unused
@@ -38,22 +39,26 @@
 // waiting for downstream calls is left out of own time: it depends on the limit
 // of another upstream.
 type limiter struct {
-	limit      float64
-	step       float64 // next growth; doubles while growth causes no harm
-	bound      float64 // reported slots or configured bound
-	base       float64 // own time without congestion, ns
-	baseWeight float64 // samples in the base
-	win        window
-	since      time.Duration // only calls that started since count
-	verify     verification
-	suspected  bool          // the last window looked congested
-	openSince  time.Duration // since when calls wait while the limit could still grow
-	hold       time.Duration // pause after a refusal by the upstream
-	growAt     time.Duration // no growth before
-	service    float64       // expected latency of a call, ns
-	sampled    time.Duration // time of the last latency sample
-	held       int           // slots of shed calls that are not yet reused
-	heldAt     time.Duration
+	limit       float64
+	step        float64 // next growth; doubles while growth causes no harm
+	floor       float64 // latency alone does not lower the limit below it
+	bound       float64 // reported slots or configured bound
+	base        float64 // own time without congestion, ns
+	baseWeight  float64 // samples in the base
+	win         window
+	since       time.Duration // only calls that started since count
+	verify      verification
+	suspected   bool          // the last window looked congested
+	fell        bool          // the last window was clearly faster
+	grew        bool          // the limit grew, so calls that end early are over-represented in the window
+	heldSince   time.Duration // since when calls wait for a limit that does not grow
+	recalibrate time.Duration // time calls wait at the limit until the base is measured again
+	hold        time.Duration // pause after a refusal by the upstream
+	growAt      time.Duration // no growth before
+	service     float64       // expected latency of a call, ns
+	sampled     time.Duration // time of the last latency sample
+	held        int           // slots of shed calls that are not yet reused
+	heldAt      time.Duration
 }
 
 // window collects samples between two decisions.
@@ -74,7 +79,7 @@
 }
 
 func newLimiter(initial, bound int) limiter {
-	l := limiter{limit: float64(initial), step: float64(initial), bound: float64(bound), hold: minHold}
+	l := limiter{limit: float64(initial), floor: float64(initial), step: float64(initial), bound: float64(bound), hold: minHold, recalibrate: minRecalibrate}
 	l.clamp()
 	return l
 }
@@ -106,12 +111,15 @@
 // sample records the latency of a call that the upstream worked on.
 func (l *limiter) sample(now, started time.Duration, s Sample) {
 	l.held = max(l.held-1, 0)
+	if started < l.since {
+		return
+	}
 	l.sampled = now
 	if l.service == 0 {
 		l.service = float64(s.Latency)
 	}
 	l.service += serviceGain * (float64(s.Latency) - l.service)
-	if started < l.since || now < l.since+settleTimes*time.Duration(l.service) {
+	if now < l.since+settleTimes*time.Duration(l.service) {
 		return
 	}
 	own := float64(max(s.Latency-s.Downstream, 0))
@@ -160,19 +168,24 @@
 		return l.verified(mean, deviation)
 	}
 	full := float64(l.win.peak) >= fullShare*math.Floor(l.limit)
-	l.rebase(mean, deviation, full)
+	if !l.grew {
+		l.rebase(mean, deviation, full)
+	}
+	l.grew = false
 	congested := mean-significance*deviation > verifyAbove*l.base
-	if !l.win.blocked || l.limit >= l.bound {
-		l.openSince = now
+	held := l.win.blocked && l.limit < l.bound
+	if !held {
+		l.heldSince = now
 	}
 	switch {
 	case l.win.shed > 0:
 		l.hold = min(2*l.hold, maxHold)
 	case congested && !full:
 		l.setBase(mean)
-	case congested && l.suspected, now-l.openSince >= recalibrate:
+	case l.limit > l.floor && (congested && l.suspected || held && now-l.heldSince >= l.recalibrate):
 		l.startVerify(now, mean)
 	case l.win.blocked && mean-deviation <= growBelow*l.base && now >= l.growAt:
+		l.heldSince = now
 		l.grow()
 	}
 	l.suspected = congested && !l.verify.active
@@ -183,13 +196,16 @@
 // both directions: a rise cannot come from the limit. At the limit it follows
 // only what is within the noise, and recalibration corrects the drift.
 func (l *limiter) rebase(mean, deviation float64, full bool) {
+	fell := mean+clearNoise*deviation < clearlyFaster*l.base
 	switch {
-	case l.base == 0, mean+clearNoise*deviation < clearlyFaster*l.base:
+	case l.base == 0, fell && l.fell:
 		l.setBase(mean)
+	case fell:
 	case !full, mean-significance*deviation < l.base:
 		l.baseWeight = min(l.baseWeight+float64(l.win.n), baseMemory)
 		l.base += float64(l.win.n) / l.baseWeight * (mean - l.base)
 	}
+	l.fell = fell
 }
 
 func (l *limiter) setBase(own float64) {
@@ -203,8 +219,8 @@
 func (l *limiter) startVerify(now time.Duration, own float64) {
 	l.verify = verification{active: true, limit: l.limit, own: own}
 	l.since = now
-	l.openSince = now
-	l.limit *= verifyFactor
+	l.heldSince = now
+	l.limit = max(l.limit*verifyFactor, min(l.floor, l.limit))
 	l.clamp()
 }
 
@@ -223,10 +239,12 @@
 	if mean+significance*deviation >= midpoint {
 		l.setBase(mean)
 		l.limit = before.limit
+		l.recalibrate = minRecalibrate
 		return true
 	}
-	l.limit = min(kneeMargin*mean/before.own, 1) * before.limit
+	l.limit = max(min(kneeMargin*mean/before.own, 1)*before.limit, l.limit)
 	l.setBase(min(l.base, mean))
+	l.recalibrate = min(2*l.recalibrate, maxRecalibrate)
 	l.clamp()
 	return true
 }
@@ -235,5 +253,6 @@
 	l.limit += l.step
 	l.step = min(2*l.step, max(l.limit/2, 1))
 	l.hold = minHold
+	l.grew = true
 	l.clamp()
 }
