--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -5,8 +5,10 @@
 package load
 
 import (
-	"context"
+	"cmp"
+	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 )
 
@@ -21,12 +23,15 @@
 type Route struct {
 	Method     string
 	Path       string
-	Weight     float64 // share in the mix, relative to the other routes
+	Weight     float64 // share in the mix, relative to the other routes; zero means 1
 	Idempotent bool
 	Body       []byte
 	Timeout    time.Duration // from the intended start; zero means Config.Timeout
 }
 
+// Name returns the method and the path.
+func (r Route) Name() string { return r.Method + " " + r.Path }
+
 // Workspace is one tenant with its key and demand.
 type Workspace struct {
 	Name   string
@@ -44,12 +49,18 @@
 	// MaxInFlight bounds concurrent requests; an arrival beyond it is counted
 	// as dropped and not sent.
 	MaxInFlight int
-	Timeout     time.Duration // of routes without their own
-	Retries     int           // client retries per request
-	RetryDelay  time.Duration // before the first retry; doubles with each
-	Tickets     bool          // use tickets on routes that are not idempotent
-	Transport   http.RoundTripper
-	Progress    func(Progress) // called about once a second and at the end; may be nil
+	// Timeout is when an answer counts as late, for routes without their own. The
+	// request is given up after twice this time.
+	Timeout    time.Duration
+	Retries    int           // client retries per request
+	RetryDelay time.Duration // before the first retry; doubles with each, plus up to half
+	// RespectRetryAfter waits at least as long as a refusal advises.
+	RespectRetryAfter bool
+	// Tickets uses a ticket on routes that are not idempotent, and thereby allows
+	// client retries of them. Without, they are retried only if proven not run.
+	Tickets   bool
+	Transport http.RoundTripper // nil means one of the run's own
+	Progress  func(Progress)    // called every second and at the end; may be nil
 }
 
 // Progress is a running total.
@@ -59,7 +70,55 @@
 	InFlight int
 }
 
-// Run generates the load and waits for the last answer. It fails for an invalid
-// config; failed requests are results. Cancellation of ctx ends the arrivals
-// and the requests under way.
-func Run(ctx context.Context, cfg Config) (Result, error) { return Result{}, nil }
+func (c Config) withDefaults() Config {
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.RetryDelay = cmp.Or(c.RetryDelay, DefaultRetryDelay)
+	if c.Transport == nil {
+		c.Transport = &http.Transport{
+			MaxIdleConnsPerHost: c.MaxInFlight,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}
+	}
+	return c
+}
+
+func (c *Config) check() error {
+	if c.Duration <= 0 {
+		return fmt.Errorf("load: duration %s is not positive", c.Duration)
+	}
+	if len(c.Targets) == 0 || len(c.Workspaces) == 0 {
+		return fmt.Errorf("load: at least one target and one workspace are needed")
+	}
+	for _, target := range c.Targets {
+		u, err := url.Parse(target)
+		if err != nil || u.Host == "" {
+			return fmt.Errorf("load: target %q is not a base URL", target)
+		}
+	}
+	for _, w := range c.Workspaces {
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *Workspace) check() error {
+	if !(w.Rate >= 0) || w.Rate > maxRate {
+		return fmt.Errorf("load: workspace %q: rate %v is not between 0 and %v", w.Name, w.Rate, maxRate)
+	}
+	if len(w.Routes) == 0 {
+		return fmt.Errorf("load: workspace %q has no routes", w.Name)
+	}
+	for _, r := range w.Routes {
+		if r.Method == "" || len(r.Path) == 0 || r.Path[0] != '/' || !(r.Weight >= 0) {
+			return fmt.Errorf("load: workspace %q: route %q needs a method, a path and a weight of at least 0", w.Name, r.Name())
+		}
+	}
+	return nil
+}
+
+// maxRate keeps the time between two arrivals well above the clock's resolution.
+const maxRate = 1_000_000.0
