--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -8,14 +8,15 @@
 
 const (
 	cutWindow      = 20 * time.Millisecond
-	cutTightenOver = 0.08 // refused part of the queue's arrivals from which the cut tightens
-	cutLoosenUnder = 0.02 // refused part of the least refused workspace up to which it loosens
-	cutAim         = 0.04 // refused part that a tightened cut leaves, so that slots never idle
+	cutTightenOver = 0.15 // refused part of the queue's arrivals from which the cut tightens
+	cutLoosenUnder = 0.04 // refused part of the least refused workspace up to which it loosens
+	cutAim         = 0.08 // refused part that a tightened cut leaves, so that slots never idle
 	cutCalm        = 4    // windows without pressure before the cut loosens
 	cutFirstShare  = mesh.CutScale / 8
+	cutMaxDoubling = 5                     // doublings of the loosening step
 	cutMaxStep     = 0.5                   // smallest factor by which one step tightens the share
 	cutSettle      = 60 * time.Millisecond // until calls arrive under a changed cut
-	cutMemory      = 0.9                   // weight of the past in the counts
+	cutMemory      = 0.95                  // weight of the past in the counts
 	cutMinArrivals = 8                     // arrivals from which a workspace's counts have a say
 )
 
@@ -29,6 +30,7 @@
 	at        time.Duration
 	calm      int           // windows without pressure
 	idle      bool          // slots were free during the whole window
+	idleRun   int           // windows in a row with free slots
 	countFrom time.Duration // calls that arrived before came under another cut
 }
 
@@ -40,6 +42,12 @@
 		return
 	}
 	s.at = now
+	if s.idle {
+		s.idleRun++
+		c.forgetCounts()
+	} else {
+		s.idleRun = 0
+	}
 	class, refused := c.pressure()
 	switch {
 	case now < s.countFrom && !s.idle:
@@ -121,13 +129,10 @@
 	cut.Share = uint16(min(max(share, 1), mesh.CutScale))
 }
 
-// loosen opens the cut step by step, faster while slots are free.
+// loosen opens the cut step by step, in doubling steps while slots stay free.
 func (c *Controller) loosen() {
 	cut := &c.cut.cut
-	share := int(cut.Share) + int(cut.Share)/16 + cutFirstShare/8
-	if c.cut.idle {
-		share = 2*int(cut.Share) + 2*cutFirstShare
-	}
+	share := int(cut.Share) + (int(cut.Share)/16+cutFirstShare/8)<<min(c.cut.idleRun, cutMaxDoubling)
 	switch {
 	case share < mesh.CutScale:
 		cut.Share = uint16(share)
