--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -163,10 +163,12 @@
 func (l *limiter) decide(now time.Duration) bool {
 	n := float64(l.win.n)
 	mean := l.win.sum / n
-	deviation := math.Sqrt(max(l.win.sq/n-mean*mean, 0) / n)
+	spread := math.Sqrt(max(l.win.sq/n-mean*mean, 0))
 	if l.verify.active {
-		return l.verified(mean, deviation)
+		return l.verified(mean, spread/math.Sqrt(n))
 	}
+	// The base is a mean of samples too, so its error counts as well.
+	deviation := spread * math.Sqrt(1/n+1/max(l.baseWeight, 1))
 	full := float64(l.win.peak) >= fullShare*math.Floor(l.limit)
 	if !l.grew {
 		l.rebase(mean, deviation, full)
