--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -10,6 +10,7 @@
 	minWindow       = 50 * time.Millisecond
 	maxWindow       = time.Second
 	minSamples      = 16
+	maxBlind        = 2   // doublings of the limit before the first base
 	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
 	maxVerify       = 100 // samples after which a verification is decided in any case
 	verifyFactor    = 0.7 // limit during a verification, of the limit before
@@ -51,6 +52,7 @@
 	suspected   bool          // the last window looked congested
 	fell        bool          // the last window was clearly faster
 	grew        bool          // the limit grew, so calls that end early are over-represented in the window
+	blind       int           // growth steps before there was a base
 	heldSince   time.Duration // since when calls wait for a limit that does not grow
 	recalibrate time.Duration // time calls wait at the limit until the base is measured again
 	hold        time.Duration // pause after a refusal by the upstream
@@ -147,6 +149,12 @@
 	if length < minWindow || length < min(time.Duration(l.service), maxWindow) {
 		return
 	}
+	if l.base == 0 && l.win.blocked && l.win.shed == 0 && l.blind < maxBlind {
+		l.blind++
+		l.grow()
+		l.win = window{start: now, peak: inFlight}
+		return
+	}
 	if l.win.n < minSamples && length < maxWindow {
 		return
 	}
