--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -110,7 +110,7 @@
 	}
 	f := c.queue.flowOf(r.Workspace)
 	c.countArrival(now, f, r.Class)
-	if c.queue.queued == 0 && c.inFlight < c.allowed() {
+	if c.queue.queued == 0 && c.inFlight < c.allowedFor(r.Class) {
 		c.run(now, c.queue.add(r, f, now))
 		return Run, outcome.None
 	}
@@ -137,6 +137,13 @@
 	return c.limiter.allowed()
 }
 
+func (c *Controller) allowedFor(class mesh.Class) int {
+	if c.cfg.Policy != PolicyFull {
+		return c.allowed()
+	}
+	return c.limiter.allowedFor(class)
+}
+
 func (c *Controller) maxQueue() int {
 	if c.cfg.Policy == PolicyStatic {
 		return c.cfg.StaticQueue
@@ -264,12 +271,12 @@
 			return c.refuse(i, outcome.QueueTimeout), true
 		}
 	}
-	if c.inFlight >= c.allowed() {
+	i := c.head()
+	call := &c.queue.calls[i]
+	if c.inFlight >= c.allowedFor(call.class) {
 		c.limiter.win.blocked = true
 		return Step{}, false
 	}
-	i := c.head()
-	call := &c.queue.calls[i]
 	if c.late(now, call.deadline) {
 		return c.refuse(i, outcome.DeadlineExceeded), true
 	}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cardamomhatch/internal/mesh"
 )
 
 const (
@@ -52,6 +54,7 @@
 	suspected   bool          // the last window looked congested
 	fell        bool          // the last window was clearly faster
 	grew        bool          // the limit grew, so calls that end early are over-represented in the window
+	proven      float64       // limit up to which the upstream did not shed; zero until it has shed
 	blind       int           // growth steps before there was a base
 	heldSince   time.Duration // since when calls wait for a limit that does not grow
 	recalibrate time.Duration // time calls wait at the limit until the base is measured again
@@ -93,6 +96,16 @@
 // allowed returns how many calls may be in flight.
 func (l *limiter) allowed() int { return max(int(l.limit)-l.held, 0) }
 
+// allowedFor returns how many calls may be in flight for a call of the class to
+// run. With an upstream that sheds, a grown limit is tried with the less
+// important classes first.
+func (l *limiter) allowedFor(class mesh.Class) int {
+	if class > mesh.ClassHigh || l.proven == 0 {
+		return l.allowed()
+	}
+	return max(int(min(l.limit, l.proven))-l.held, 0)
+}
+
 // started records a call sent to the upstream.
 func (l *limiter) started(inFlight int) { l.win.peak = max(l.win.peak, inFlight) }
 
@@ -106,6 +119,7 @@
 	l.win.shed++
 	l.limit = min(l.limit, max(float64(inFlight-1), l.limit/2))
 	l.clamp()
+	l.proven = l.limit
 	l.step = 1
 	l.growAt = now + l.hold
 }
@@ -149,7 +163,7 @@
 	if length < minWindow || length < min(time.Duration(l.service), maxWindow) {
 		return
 	}
-	if l.base == 0 && l.win.blocked && l.win.shed == 0 && l.blind < maxBlind {
+	if l.base == 0 && l.proven == 0 && l.win.blocked && l.win.shed == 0 && l.blind < maxBlind {
 		l.blind++
 		l.grow()
 		l.win = window{start: now, peak: inFlight}
@@ -182,6 +196,9 @@
 		l.rebase(mean, deviation, full)
 	}
 	l.grew = false
+	if l.proven > 0 && l.win.shed == 0 && float64(l.win.peak) >= math.Floor(l.limit) {
+		l.proven = l.limit
+	}
 	congested := mean-significance*deviation > verifyAbove*l.base
 	held := l.win.blocked && l.limit < l.bound
 	if !held {
