--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -211,7 +211,7 @@
 		l.setBase(mean)
 	case l.limit > l.floor && (congested && l.suspected || held && now-l.heldSince >= l.recalibrate):
 		l.startVerify(now, mean)
-	case l.win.blocked && mean-deviation <= growBelow*l.base && now >= l.growAt:
+	case l.win.blocked && (l.proven == 0 || l.proven >= l.limit) && mean-deviation <= growBelow*l.base && now >= l.growAt:
 		l.heldSince = now
 		l.grow()
 	}
