--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,70 @@
+package routing
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// BenchmarkAttempt measures the decisions of one attempt: cut, choice, start and
+// end.
+func BenchmarkAttempt(b *testing.B) {
+	for _, n := range []int{5, 20} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			table := New(Config{Seed: 1, DataCentre: "dc1"})
+			table.SetMembers(0, orders, memberList(orders, n))
+			b.ReportAllocs()
+			now := time.Duration(0)
+			for b.Loop() {
+				now += ms
+				if !table.Cut(now, orders).Admits(mesh.ClassHigh, 1) {
+					b.Fatal("refused")
+				}
+				m, _ := table.Pick(now, orders, mesh.ClassNormal, mesh.NodeID{})
+				table.Sent(now, m.Node)
+				table.Ended(now, m.Node, Sample{Latency: latency})
+				table.SetCut(now, orders, mesh.OpenCut)
+			}
+		})
+	}
+}
+
+func memberList(service mesh.Service, n int) []mesh.Member {
+	members := make([]mesh.Member, n)
+	for i := range members {
+		members[i] = mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprintf("%s-%d", service, i))}, DataCentre: "dc1", Service: service}
+	}
+	return members
+}
+
+// BenchmarkMemory reports the memory per service and per candidate node.
+func BenchmarkMemory(b *testing.B) {
+	for _, services := range []int{4, 300, 2700} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			lists := make([][]mesh.Member, services)
+			for i := range lists {
+				lists[i] = memberList(mesh.Service(fmt.Sprintf("service-%d", i)), defaultSubset)
+			}
+			var table *Table
+			var before, after runtime.MemStats
+			for b.Loop() {
+				table = nil
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				table = New(Config{Seed: 1})
+				for _, members := range lists {
+					table.SetMembers(0, members[0].Service, members)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			size := float64(after.HeapAlloc - before.HeapAlloc)
+			b.ReportMetric(size/float64(services), "B/service")
+			b.ReportMetric(size/float64(services*defaultSubset), "B/node")
+			runtime.KeepAlive(table)
+		})
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -15,20 +15,22 @@
 // The results.
 const (
 	OK        Result = iota
-	Failed           // the upstream answered with an error
+	Failed           // the upstream answered with an error, or not in time
 	Refused          // the serving node or its upstream refused the call for load
 	Lost             // no connection, or the connection broke
 	Cancelled        // the caller gave up; says nothing about the node
 )
 
-// Report is the load that a node states about its upstream.
+// Report is the load that a node states about its upstream. The zero value
+// means that nothing was reported.
 type Report struct {
 	InFlight int
 	Queued   int
-	Limit    int // zero means not reported
+	Limit    int
 }
 
-// Sample is what was measured on one attempt. Report is optional.
+// Sample is what was measured on one attempt, and the report that its answer
+// carried.
 type Sample struct {
 	Latency time.Duration
 	Result  Result
@@ -39,6 +41,22 @@
 type Config struct {
 	Seed       uint64
 	DataCentre mesh.DataCentre
-	Self       mesh.NodeID // ranks the subset, so that nodes choose different ones
-	SubsetSize int
+	Self       mesh.NodeID   // ranks the candidates, so that nodes use different subsets
+	SubsetSize int           // candidates of one service
+	Ramp       time.Duration // time in which a new upstream reaches its full part
+}
+
+const (
+	defaultSubset = 20
+	defaultRamp   = 5 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.SubsetSize == 0 {
+		c.SubsetSize = defaultSubset
+	}
+	if c.Ramp == 0 {
+		c.Ramp = defaultRamp
+	}
+	return c
 }
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,287 @@
+package routing
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+const (
+	ms      = time.Millisecond
+	orders  = mesh.Service("orders")
+	latency = 20 * ms
+)
+
+// behaviour returns how a fake node answers an attempt sent at the given time.
+type behaviour func(now time.Duration, inFlight int) Sample
+
+func healthy(time.Duration, int) Sample { return Sample{Latency: latency} }
+
+type attempt struct {
+	at     time.Duration
+	node   int
+	sample Sample
+}
+
+type attempts []attempt
+
+func (a attempts) Len() int           { return len(a) }
+func (a attempts) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a attempts) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *attempts) Push(x any)        { *a = append(*a, x.(attempt)) }
+func (a *attempts) Pop() any          { old := *a; x := old[len(old)-1]; *a = old[:len(old)-1]; return x }
+
+// drive sends a call every millisecond through the table to fake nodes and
+// returns the calls and the failures of each node.
+func drive(t *testing.T, table *Table, members []mesh.Member, nodes []behaviour, from, until time.Duration) (calls, failures []int) {
+	t.Helper()
+	index := map[mesh.NodeID]int{}
+	for i, m := range members {
+		index[m.Node] = i
+	}
+	calls, failures = make([]int, len(nodes)), make([]int, len(nodes))
+	inFlight := make([]int, len(nodes))
+	var under attempts
+	for now := from; now < until; now += ms {
+		for len(under) > 0 && under[0].at <= now {
+			a := heap.Pop(&under).(attempt)
+			inFlight[a.node]--
+			table.Ended(a.at, members[a.node].Node, a.sample)
+		}
+		m, reason := table.Pick(now, orders, mesh.ClassNormal, mesh.NodeID{})
+		if reason != outcome.None {
+			t.Fatalf("at %v: no upstream", now)
+		}
+		i := index[m.Node]
+		table.Sent(now, m.Node)
+		inFlight[i]++
+		s := nodes[i](now, inFlight[i])
+		calls[i]++
+		if s.Result != OK {
+			failures[i]++
+		}
+		heap.Push(&under, attempt{now + s.Latency, i, s})
+	}
+	for _, a := range under {
+		table.Ended(until, members[a.node].Node, a.sample)
+	}
+	return calls, failures
+}
+
+func setup(n int) (*Table, []mesh.Member, []behaviour) {
+	table := New(Config{Seed: 1, DataCentre: "dc1"})
+	members := make([]mesh.Member, n)
+	nodes := make([]behaviour, n)
+	for i := range members {
+		members[i] = mesh.Member{
+			Node:       mesh.NodeID{Host: mesh.Host(fmt.Sprintf("host-%d", i)), Incarnation: 1},
+			DataCentre: mesh.DataCentre(fmt.Sprintf("dc%d", i%3+1)),
+			Service:    orders,
+		}
+		nodes[i] = healthy
+	}
+	table.SetMembers(0, orders, members)
+	return table, members, nodes
+}
+
+// goalRefused is the goal for calls refused within the rate under faults.
+const goalRefused = 0.01
+
+// Guards against an upstream that fails fast attracting work because it looks
+// idle, and against a dead node that is only noticed by a timer.
+func TestFailingNodeGetsLittleWork(t *testing.T) {
+	faults := map[string]behaviour{
+		"fails fast":   func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Failed} },
+		"refuses fast": func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Refused} },
+		"dead":         func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Lost} },
+		"hangs":        func(time.Duration, int) Sample { return Sample{Latency: 500 * ms, Result: Lost} },
+	}
+	for name, fault := range faults {
+		table, members, nodes := setup(5)
+		drive(t, table, members, nodes, 0, time.Second)
+		nodes[0] = fault
+		calls, failures := drive(t, table, members, nodes, time.Second, 11*time.Second)
+		share := float64(failures[0]) / 10_000
+		t.Logf("%-12s %d of 10000 calls reached the node", name, calls[0])
+		if share > goalRefused {
+			t.Errorf("%s: %.4f of the calls failed, goal %.2f", name, share, goalRefused)
+		}
+		nodes[0] = healthy
+		drive(t, table, members, nodes, 11*time.Second, 20*time.Second)
+		calls, _ = drive(t, table, members, nodes, 20*time.Second, 30*time.Second)
+		if calls[0] < 10_000/5/2 {
+			t.Errorf("%s: the recovered node got %d of 10000 calls", name, calls[0])
+		}
+	}
+}
+
+// Guards against a single failure that closes a healthy node for long, and
+// against suspending every node of a service that fails as a whole.
+func TestEveryNodeFailing(t *testing.T) {
+	table, members, nodes := setup(3)
+	for i := range nodes {
+		nodes[i] = func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Lost} }
+	}
+	calls, _ := drive(t, table, members, nodes, 0, time.Second)
+	for i, n := range calls {
+		if n == 0 {
+			t.Errorf("node %d got no call while all fail", i)
+		}
+	}
+	for i := range nodes {
+		nodes[i] = healthy
+	}
+	drive(t, table, members, nodes, time.Second, 3*time.Second)
+	_, failures := drive(t, table, members, nodes, 3*time.Second, 4*time.Second)
+	if failures[0]+failures[1]+failures[2] != 0 {
+		t.Errorf("failures after recovery: %v", failures)
+	}
+}
+
+// Guards against a load report that attracts work, and against one that takes a
+// node out altogether.
+func TestLyingReports(t *testing.T) {
+	table, members, nodes := setup(5)
+	nodes[0] = func(time.Duration, int) Sample {
+		return Sample{Latency: latency, Report: Report{InFlight: 0, Limit: 10_000}}
+	}
+	nodes[1] = func(time.Duration, int) Sample {
+		return Sample{Latency: latency, Report: Report{InFlight: 1_000, Limit: 1}}
+	}
+	calls, _ := drive(t, table, members, nodes, 0, 20*time.Second)
+	t.Logf("calls: claims to be idle %d, claims to be full %d, honest %v", calls[0], calls[1], calls[2:])
+	honest := max(calls[2], calls[3], calls[4])
+	if calls[0] > honest*11/10 {
+		t.Errorf("the node that claims to be idle got %d calls, an honest one %d", calls[0], honest)
+	}
+	if calls[1] >= honest || calls[1] == 0 {
+		t.Errorf("the node that claims to be full got %d calls, an honest one %d", calls[1], honest)
+	}
+}
+
+// Guards against filling the upstreams of the own data centre while others are
+// free. Other entry nodes keep the local node at nine tenths of its limit.
+func TestBusyLocalNodeSpillsOver(t *testing.T) {
+	const limit = 100
+	table, members, nodes := setup(3)
+	for i := range nodes {
+		others := map[bool]int{true: limit * 9 / 10, false: limit / 2}[members[i].DataCentre == "dc1"]
+		nodes[i] = func(_ time.Duration, inFlight int) Sample {
+			return Sample{Latency: latency, Report: Report{InFlight: others + inFlight, Limit: limit}}
+		}
+	}
+	calls, _ := drive(t, table, members, nodes, 0, 10*time.Second)
+	t.Logf("calls: busy local node %d, free remote nodes %v", calls[0], calls[1:])
+	if calls[0] > 10_000/3 {
+		t.Errorf("the busy local node got %d of 10000 calls", calls[0])
+	}
+}
+
+// Guards against a cold upstream that gets its full part at once.
+func TestNewNodeRampsUp(t *testing.T) {
+	table, members, nodes := setup(5)
+	drive(t, table, members[:4], nodes[:4], 0, 0)
+	table.SetMembers(0, orders, members[:4])
+	drive(t, table, members, nodes, 0, 5*time.Second)
+	table.SetMembers(5*time.Second, orders, members)
+	first, _ := drive(t, table, members, nodes, 5*time.Second, 6*time.Second)
+	drive(t, table, members, nodes, 6*time.Second, 11*time.Second)
+	last, _ := drive(t, table, members, nodes, 11*time.Second, 12*time.Second)
+	t.Logf("calls of the new node: %d in its first second, %d after the ramp", first[4], last[4])
+	if first[4] == 0 || first[4]*2 > last[4] || last[4] < 100 {
+		t.Errorf("the new node got %d calls in its first second and %d after the ramp", first[4], last[4])
+	}
+}
+
+// Guards against a slow node that collects the calls in flight.
+func TestSlowNodeGetsLessWork(t *testing.T) {
+	table, members, nodes := setup(5)
+	nodes[0] = func(time.Duration, int) Sample { return Sample{Latency: 5 * latency} }
+	calls, _ := drive(t, table, members, nodes, 0, 10*time.Second)
+	t.Logf("calls: %v", calls)
+	if calls[0]*3 > calls[3] {
+		t.Errorf("a node five times slower got %d calls, another one %d", calls[0], calls[3])
+	}
+}
+
+// Guards against retries at the node that just failed, and against losing the
+// only node.
+func TestPickExcludes(t *testing.T) {
+	table, members, _ := setup(2)
+	for range 100 {
+		if m, _ := table.Pick(0, orders, mesh.ClassHigh, members[0].Node); m.Node == members[0].Node {
+			t.Fatal("picked the excluded node")
+		}
+	}
+	table.SetMembers(0, orders, members[:1])
+	if m, reason := table.Pick(0, orders, mesh.ClassHigh, members[0].Node); reason != outcome.None || m.Node != members[0].Node {
+		t.Fatalf("the only node was not picked: %v", reason)
+	}
+	table.SetMembers(0, orders, nil)
+	if _, reason := table.Pick(0, orders, mesh.ClassHigh, mesh.NodeID{}); reason != outcome.NoUpstream {
+		t.Fatalf("picked a node of a service without members: %v", reason)
+	}
+}
+
+// Guards against a subset that is too wide, ignores the data centre, or changes
+// for nodes that stay.
+func TestSubset(t *testing.T) {
+	table, members, _ := setup(90)
+	before := map[mesh.NodeID]bool{}
+	for _, c := range table.services[orders].candidates {
+		before[c.member.Node] = true
+		if c.remote {
+			t.Errorf("%v is remote while local nodes are left out", c.member.Node)
+		}
+	}
+	if len(before) != defaultSubset {
+		t.Fatalf("subset of %d", len(before))
+	}
+	left := table.services[orders].candidates[0].member.Node
+	var rest []mesh.Member
+	for _, m := range members {
+		if m.Node != left {
+			rest = append(rest, m)
+		}
+	}
+	table.SetMembers(0, orders, rest)
+	added := 0
+	for _, c := range table.services[orders].candidates {
+		if !before[c.member.Node] {
+			added++
+		}
+	}
+	if added != 1 || len(table.nodes) != defaultSubset {
+		t.Fatalf("one node left: %d replaced, %d nodes kept", added, len(table.nodes))
+	}
+}
+
+// Guards against a cut that stays in force after its cause, and against one
+// answer that decides for the whole service.
+func TestCutDecaysToOpen(t *testing.T) {
+	table, _, _ := setup(3)
+	closed := mesh.Cut{Class: mesh.ClassHigh, Share: 512}
+	table.SetCut(10*time.Second, orders, closed)
+	for i := range 100 {
+		table.SetCut(10*time.Second+time.Duration(i)*ms, orders, closed)
+	}
+	at := 10*time.Second + 99*ms
+	if got := table.Cut(at, orders); got.Class != mesh.ClassHigh {
+		t.Fatalf("cut %v after 100 answers with %v", got, closed)
+	}
+	last := level(0)
+	for age := time.Duration(0); age <= cutLife; age += 50 * ms {
+		l := levelOf(table.Cut(at+age, orders))
+		if l < last {
+			t.Fatalf("the cut tightened from %v to %v by age", last, l)
+		}
+		last = l
+	}
+	if got := table.Cut(at+cutLife, orders); got != mesh.OpenCut {
+		t.Fatalf("cut %v after 1 s without refresh", got)
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,37 +1,213 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 )
 
-// Table holds what one node knows of the upstreams it calls.
-type Table struct{ cfg Config }
+// Table holds what one node knows of the upstreams it calls. It is not safe for
+// concurrent use.
+type Table struct {
+	cfg      Config
+	random   uint64
+	nodes    map[mesh.NodeID]*node
+	services map[mesh.Service]*service
+}
+
+// service is the candidate subset of one service, those of the own data centre
+// first.
+type service struct {
+	candidates []*node
+	local      int
+	latency    float64 // mean latency of all answers, ns
+	cut        level
+	cutAt      time.Duration
+}
 
 // New returns an empty table.
-func New(cfg Config) *Table { return &Table{cfg: cfg} }
+func New(cfg Config) *Table {
+	return &Table{
+		cfg:      cfg.withDefaults(),
+		random:   cfg.Seed,
+		nodes:    map[mesh.NodeID]*node{},
+		services: map[mesh.Service]*service{},
+	}
+}
 
-// SetMembers replaces the members of a service.
-func (t *Table) SetMembers(now time.Duration, service mesh.Service, members []mesh.Member) {}
+// SetMembers replaces the members of a service. Scores of nodes that stay are
+// kept. A node that joins a service with members ramps up.
+func (t *Table) SetMembers(now time.Duration, name mesh.Service, members []mesh.Member) {
+	s := t.service(name)
+	old := s.candidates
+	subset := t.subset(name, members)
+	s.candidates = make([]*node, 0, len(subset))
+	s.local = 0
+	for _, m := range subset {
+		n := t.node(now, m, len(old) > 0)
+		n.services++
+		s.candidates = append(s.candidates, n)
+		if !n.remote {
+			s.local++
+		}
+	}
+	for _, n := range old {
+		n.services--
+		t.forget(n)
+	}
+}
+
+func (t *Table) service(name mesh.Service) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{cut: open}
+		t.services[name] = s
+	}
+	return s
+}
+
+// subset returns the members to use: those of the own data centre first, within
+// that by rendezvous hash.
+func (t *Table) subset(name mesh.Service, members []mesh.Member) []mesh.Member {
+	key := t.cfg.Self.String() + "/" + string(name)
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b mesh.Member) int {
+		aLocal, bLocal := a.DataCentre == t.cfg.DataCentre, b.DataCentre == t.cfg.DataCentre
+		if aLocal != bLocal {
+			if aLocal {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(mesh.RendezvousScore(key, b.Node), mesh.RendezvousScore(key, a.Node)),
+			cmp.Compare(a.Node.Host, b.Node.Host),
+			cmp.Compare(a.Node.Incarnation, b.Node.Incarnation),
+		)
+	})
+	return ranked[:min(len(ranked), t.cfg.SubsetSize)]
+}
+
+func (t *Table) node(now time.Duration, m mesh.Member, ramps bool) *node {
+	n := t.nodes[m.Node]
+	if n == nil {
+		n = &node{joined: now, ramps: ramps}
+		t.nodes[m.Node] = n
+	}
+	n.member = m
+	n.remote = m.DataCentre != t.cfg.DataCentre
+	return n
+}
+
+// forget drops a node that no service lists and that has no attempt under way.
+func (t *Table) forget(n *node) {
+	if n.services == 0 && n.sent == 0 {
+		delete(t.nodes, n.member.Node)
+	}
+}
 
 // Pick chooses the node for one attempt. exclude names the node of the previous
 // attempt; it is chosen only if there is no other. The reason is NoUpstream if
 // the service has no member, else None.
-func (t *Table) Pick(now time.Duration, service mesh.Service, class mesh.Class, exclude mesh.NodeID) (mesh.Member, outcome.Reason) {
-	return mesh.Member{}, outcome.NoUpstream
+func (t *Table) Pick(now time.Duration, name mesh.Service, class mesh.Class, exclude mesh.NodeID) (mesh.Member, outcome.Reason) {
+	s := t.services[name]
+	if s == nil || len(s.candidates) == 0 {
+		return mesh.Member{}, outcome.NoUpstream
+	}
+	typical := s.latency
+	if typical == 0 {
+		typical = float64(initialLatency)
+	}
+	first := t.draw(now, s, max(s.local, 1), class, exclude, nil)
+	second := t.draw(now, s, len(s.candidates), class, exclude, first)
+	switch {
+	case first == nil && second == nil:
+		return t.lastResort(now, s, exclude).member, outcome.None
+	case first == nil:
+		return second.member, outcome.None
+	case second == nil, first.cost(now, typical) <= second.cost(now, typical):
+		return first.member, outcome.None
+	}
+	return second.member, outcome.None
 }
 
-// Sent records that an attempt was sent to a node.
-func (t *Table) Sent(now time.Duration, node mesh.NodeID) {}
+// draw returns a random usable candidate among the first n, or the next usable
+// one after it, or nil. A node that ramps up is passed over in proportion.
+func (t *Table) draw(now time.Duration, s *service, n int, class mesh.Class, exclude mesh.NodeID, other *node) *node {
+	start := t.below(n)
+	var ramping *node
+	for i := range s.candidates {
+		c := s.candidates[(start+i)%len(s.candidates)]
+		if c == other || !c.usable(now, class) || c.member.Node == exclude {
+			continue
+		}
+		if share := c.rampShare(now, t.cfg.Ramp); share < 1 && t.fraction() >= share {
+			ramping = cmp.Or(ramping, c)
+			continue
+		}
+		return c
+	}
+	if other != nil {
+		return nil
+	}
+	return ramping
+}
 
-// Ended records the end of an attempt that was sent.
-func (t *Table) Ended(now time.Duration, node mesh.NodeID, s Sample) {}
+// lastResort returns the candidate whose suspension ends first. exclude is used
+// only if there is no other.
+func (t *Table) lastResort(now time.Duration, s *service, exclude mesh.NodeID) *node {
+	var best *node
+	for _, c := range s.candidates {
+		if c.member.Node == exclude {
+			continue
+		}
+		if best == nil || c.suspended < best.suspended || (c.suspended == best.suspended && c.sent < best.sent) {
+			best = c
+		}
+	}
+	if best == nil {
+		return s.candidates[0]
+	}
+	return best
+}
+
+// next is one step of the SplitMix64 generator.
+func (t *Table) next() uint64 {
+	t.random += 0x9e3779b97f4a7c15
+	x := t.random
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
 
-// SetCut stores the cut that an answer carried. It decays to open unless it is
-// refreshed.
-func (t *Table) SetCut(now time.Duration, service mesh.Service, cut mesh.Cut) {}
+func (t *Table) below(n int) int { return int(t.next() >> 32 * uint64(n) >> 32) }
 
-// Cut returns the decayed cut of a service.
-func (t *Table) Cut(now time.Duration, service mesh.Service) mesh.Cut { return mesh.OpenCut }
+func (t *Table) fraction() float64 { return float64(t.next()>>11) / (1 << 53) }
+
+// Sent records that an attempt was sent to a node.
+func (t *Table) Sent(now time.Duration, id mesh.NodeID) {
+	if n := t.nodes[id]; n != nil {
+		n.sent++
+	}
+}
+
+// Ended records the end of an attempt that was sent.
+func (t *Table) Ended(now time.Duration, id mesh.NodeID, sample Sample) {
+	n := t.nodes[id]
+	if n == nil {
+		return
+	}
+	n.ended(now, sample)
+	if sample.Result == OK {
+		if s := t.services[n.member.Service]; s != nil {
+			if s.latency == 0 {
+				s.latency = float64(sample.Latency)
+			}
+			s.latency += latencyGain * (float64(sample.Latency) - s.latency)
+		}
+	}
+	t.forget(n)
+}
