--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -8,11 +8,12 @@
 
 const (
 	cutWindow      = 20 * time.Millisecond
-	cutTightenOver = 0.15 // refused part of the queue's arrivals from which the cut tightens
-	cutLoosenUnder = 0.04 // refused part of the least refused workspace up to which it loosens
-	cutAim         = 0.08 // refused part that a tightened cut leaves, so that slots never idle
-	cutCalm        = 4    // windows without pressure before the cut loosens
-	cutFirstShare  = mesh.CutScale / 8
+	cutTightenOver = 0.15                  // refused part of the queue's arrivals from which the cut tightens
+	cutLoosenUnder = 0.04                  // refused part of the least refused workspace up to which it loosens
+	cutAim         = 0.08                  // refused part that a tightened cut leaves, so that slots never idle
+	cutCalm        = 4                     // windows without pressure before the cut loosens
+	cutStep        = mesh.CutScale / 64    // least step that opens the cut
+	cutIdleStep    = mesh.CutScale / 16    // first step while slots are free
 	cutMaxDoubling = 5                     // doublings of the loosening step
 	cutNegligible  = 0.1                   // arrivals below which a workspace's counts are dropped
 	cutMaxStep     = 0.5                   // smallest factor by which one step tightens the share
@@ -149,16 +150,20 @@
 	cut.Share = uint16(min(max(share, 1), mesh.CutScale))
 }
 
-// loosen opens the cut step by step, in doubling steps while slots stay free.
+// loosen opens the cut step by step, in doubling steps while slots stay free. A
+// step may go on into the next class.
 func (c *Controller) loosen() {
-	cut := &c.cut.cut
-	share := int(cut.Share) + (int(cut.Share)/16+cutFirstShare/8)<<min(c.cut.idleRun, cutMaxDoubling)
-	switch {
-	case share < mesh.CutScale:
-		cut.Share = uint16(share)
-	case cut.Class < mesh.NumClasses-1:
-		*cut = mesh.Cut{Class: cut.Class + 1, Share: cutFirstShare}
-	default:
-		*cut = mesh.OpenCut
+	s := &c.cut
+	share := int(s.cut.Share)
+	step := share/16 + cutStep
+	if s.idle {
+		step = cutIdleStep << min(s.idleRun, cutMaxDoubling)
+	}
+	level := int(s.cut.Class)*mesh.CutScale + share + step
+	if level > mesh.NumClasses*mesh.CutScale {
+		s.cut = mesh.OpenCut
+		return
 	}
+	class := (level - 1) / mesh.CutScale
+	s.cut = mesh.Cut{Class: mesh.Class(class), Share: uint16(level - class*mesh.CutScale)}
 }
