--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -11,7 +11,7 @@
 	standingAfter  = 100 * time.Millisecond // time above the target from which a queue is standing
 	targetGaps     = 4                      // the target covers at least so many gaps between completions
 	deadlineMargin = 1.0                    // expected latency that must be left before the deadline
-	boundedTurns   = 6                      // time in a standing queue, in turns of all waiting workspaces
+	boundedTurns   = 12                     // time in a standing queue, in turns of all waiting workspaces
 	boundedWait    = 200 * time.Millisecond // longest time in a standing queue
 	gapWindow      = 16                     // calls over which the gap of a class is averaged
 )
