--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -8,12 +8,14 @@
 
 const (
 	cutWindow      = 20 * time.Millisecond
-	cutTightenOver = 0.15 // refused part of the queue's arrivals from which the cut tightens
-	cutLoosenUnder = 0.04 // refused part of the least refused workspace up to which it loosens
-	cutAim         = 0.08 // refused part that a tightened cut leaves, so that slots never idle
-	cutCalm        = 4    // windows without pressure before the cut loosens
-	cutFirstShare  = mesh.CutScale / 8
+	cutTightenOver = 0.15                  // refused part of the queue's arrivals from which the cut tightens
+	cutLoosenUnder = 0.04                  // refused part of the least refused workspace up to which it loosens
+	cutAim         = 0.08                  // refused part that a tightened cut leaves, so that slots never idle
+	cutCalm        = 4                     // windows without pressure before the cut loosens
+	cutStep        = mesh.CutScale / 64    // least step that opens the cut
+	cutIdleStep    = mesh.CutScale / 16    // first step while slots are free
 	cutMaxDoubling = 5                     // doublings of the loosening step
+	cutNegligible  = 0.1                   // arrivals below which a workspace's counts are dropped
 	cutMaxStep     = 0.5                   // smallest factor by which one step tightens the share
 	cutSettle      = 60 * time.Millisecond // until calls arrive under a changed cut
 	cutMemory      = 0.95                  // weight of the past in the counts
@@ -31,6 +33,7 @@
 	calm      int           // windows without pressure
 	idle      bool          // slots were free during the whole window
 	idleRun   int           // windows in a row with free slots
+	counted   []int32       // workspaces with counts
 	countFrom time.Duration // calls that arrived before came under another cut
 }
 
@@ -80,8 +83,10 @@
 	for class := range least {
 		least[class] = 1
 	}
-	for i := range c.queue.flows {
+	kept := c.cut.counted[:0]
+	for _, i := range c.cut.counted {
 		f := &c.queue.flows[i]
+		f.counted = false
 		for class := range f.counts {
 			n := &f.counts[class]
 			if n.arrived >= cutMinArrivals {
@@ -90,8 +95,15 @@
 			}
 			n.arrived *= cutMemory
 			n.refused *= cutMemory
+			f.counted = f.counted || n.arrived >= cutNegligible
+		}
+		if f.counted {
+			kept = append(kept, i)
+		} else {
+			f.counts = [mesh.NumClasses]counts{}
 		}
 	}
+	c.cut.counted = kept
 	for class := range least {
 		if some[class] && least[class] > cutLoosenUnder {
 			return mesh.Class(class), least[class]
@@ -102,15 +114,24 @@
 
 // forgetCounts drops what was counted under another cut.
 func (c *Controller) forgetCounts() {
-	for i := range c.queue.flows {
-		c.queue.flows[i].counts = [mesh.NumClasses]counts{}
+	for _, i := range c.cut.counted {
+		f := &c.queue.flows[i]
+		f.counted = false
+		f.counts = [mesh.NumClasses]counts{}
 	}
+	c.cut.counted = c.cut.counted[:0]
 }
 
 // countArrival and countRefusal count a call that arrived at the given time.
 func (c *Controller) countArrival(at time.Duration, flow int32, class mesh.Class) {
-	if at >= c.cut.countFrom {
-		c.queue.flows[flow].counts[class].arrived++
+	if at < c.cut.countFrom {
+		return
+	}
+	f := &c.queue.flows[flow]
+	f.counts[class].arrived++
+	if !f.counted {
+		f.counted = true
+		c.cut.counted = append(c.cut.counted, flow)
 	}
 }
 
@@ -129,16 +150,20 @@
 	cut.Share = uint16(min(max(share, 1), mesh.CutScale))
 }
 
-// loosen opens the cut step by step, in doubling steps while slots stay free.
+// loosen opens the cut step by step, in doubling steps while slots stay free. A
+// step may go on into the next class.
 func (c *Controller) loosen() {
-	cut := &c.cut.cut
-	share := int(cut.Share) + (int(cut.Share)/16+cutFirstShare/8)<<min(c.cut.idleRun, cutMaxDoubling)
-	switch {
-	case share < mesh.CutScale:
-		cut.Share = uint16(share)
-	case cut.Class < mesh.NumClasses-1:
-		*cut = mesh.Cut{Class: cut.Class + 1, Share: cutFirstShare}
-	default:
-		*cut = mesh.OpenCut
+	s := &c.cut
+	share := int(s.cut.Share)
+	step := share/16 + cutStep
+	if s.idle {
+		step = cutIdleStep << min(s.idleRun, cutMaxDoubling)
+	}
+	level := int(s.cut.Class)*mesh.CutScale + share + step
+	if level > mesh.NumClasses*mesh.CutScale {
+		s.cut = mesh.OpenCut
+		return
 	}
+	class := (level - 1) / mesh.CutScale
+	s.cut = mesh.Cut{Class: mesh.Class(class), Share: uint16(level - class*mesh.CutScale)}
 }
