--- /dev/null
+++ b/cmd/cardamomhatch/load.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/load"
+	"cardamomhatch/internal/mesh"
+)
+
+type loadCommand struct {
+	ReadyFile string           `required:"" placeholder:"FILE" help:"File written by dev --ready-file: addresses, keys and routes."`
+	Rate      float64          `default:"100" help:"Requests per second over all workspaces."`
+	Duration  time.Duration    `default:"10s" help:"Time in which requests start."`
+	Seed      uint64           `default:"1" help:"Seed of arrivals and choices."`
+	Workspace []mesh.Workspace `help:"Workspaces to call as; all by default."`
+	Route     []string         `placeholder:"\"METHOD PATH\"" help:"Routes to call; all by default. {name} in a path is replaced by 1."`
+	Retries   int              `help:"Client retries per request."`
+	Tickets   bool             `help:"Use tickets on routes that are not idempotent."`
+	Timeout   time.Duration    `default:"5s" help:"Answers after this time count as late."`
+	JSON      bool             `help:"Print the result as JSON."`
+}
+
+// Run generates the load and prints the result.
+func (c *loadCommand) Run() error {
+	data, err := os.ReadFile(c.ReadyFile)
+	if err != nil {
+		return errors.Wrap(err, "ready file")
+	}
+	var ready readyFile
+	if err := json.Unmarshal(data, &ready); err != nil {
+		return errors.Wrapf(err, "ready file %s", c.ReadyFile)
+	}
+	cfg, err := c.config(ready)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	result, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return result.WriteJSON(os.Stdout)
+	}
+	return result.WriteText(os.Stdout)
+}
+
+func (c *loadCommand) config(ready readyFile) (load.Config, error) {
+	cfg := load.Config{
+		Seed: c.Seed, Duration: c.Duration, Targets: ready.Callers, Timeout: c.Timeout,
+		Retries: c.Retries, Tickets: c.Tickets, Progress: printProgress,
+	}
+	routes, err := c.routes(ready)
+	if err != nil {
+		return cfg, err
+	}
+	names := c.Workspace
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(ready.Keys))
+	}
+	for _, name := range names {
+		key, ok := ready.Keys[name]
+		if !ok {
+			return cfg, errors.Errorf("workspace %q has no key in %s", name, c.ReadyFile)
+		}
+		cfg.Workspaces = append(cfg.Workspaces, load.Workspace{
+			Name: string(name), Key: key, Rate: c.Rate / float64(len(names)), Routes: routes,
+		})
+	}
+	return cfg, nil
+}
+
+func (c *loadCommand) routes(ready readyFile) ([]load.Route, error) {
+	var routes []load.Route
+	for _, r := range ready.Routes {
+		if len(c.Route) == 0 || slices.Contains(c.Route, r.Method+" "+r.Path) {
+			routes = append(routes, load.Route{Method: r.Method, Path: samplePath(r.Path), Idempotent: r.Idempotent})
+		}
+	}
+	if len(routes) == 0 {
+		return nil, errors.Errorf("none of the routes %q is declared", c.Route)
+	}
+	return routes, nil
+}
+
+// samplePath replaces the wildcards of a route pattern.
+func samplePath(pattern string) string {
+	segments := strings.Split(pattern, "/")
+	for i, s := range segments {
+		if strings.HasPrefix(s, "{") {
+			segments[i] = "1"
+		}
+	}
+	return strings.Join(segments, "/")
+}
+
+func printProgress(p load.Progress) {
+	fmt.Fprintf(os.Stderr, "%4.0fs arrivals %d in time %d refused %d failed %d in flight %d\n",
+		p.Elapsed.Seconds(), p.Counts.Arrivals, p.Counts.InTime, p.Counts.Refused, p.Counts.Failed, p.InFlight)
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,233 @@
+// Package dev runs a whole mesh in one process on loopback: nodes, stand-in
+// upstreams and a stand-in log service. The command dev, the experiments and
+// the integration tests use it; the nodes are those of the command run.
+package dev
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/admission"
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/devtls"
+	"cardamomhatch/internal/examples"
+	"cardamomhatch/internal/keys"
+	"cardamomhatch/internal/logservice"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/node"
+	"cardamomhatch/internal/process"
+	"cardamomhatch/internal/standin/logserver"
+	"cardamomhatch/internal/standin/upstream"
+)
+
+// Options configures a mesh.
+type Options struct {
+	Deployment  string
+	Declaration *declaration.Mesh // replaces the deployment's if not nil
+	Policy      admission.Policy
+	Seed        uint64
+	TLS         bool // on the caller and peer listeners
+	Logger      node.Logger
+	Operators   func(*process.Process) http.Handler
+	// Upstream adjusts the configuration of one stand-in upstream.
+	Upstream func(*upstream.Config)
+	// LogDelay is added to every request to the log service.
+	LogDelay time.Duration
+	// Appends is the ceiling of the log service; zero means its default.
+	Appends int
+}
+
+// Mesh is a running mesh.
+type Mesh struct {
+	Declaration *declaration.Mesh
+	Deployment  examples.Deployment
+	Log         *logserver.Server
+	LogURL      string
+	Keys        map[mesh.Workspace]string
+	Hosts       []*Host
+
+	options   Options
+	random    *rand.Rand
+	authority *devtls.Authority
+	logServer *http.Server
+	client    logservice.Client
+}
+
+// Start runs a mesh and returns once every node serves.
+func Start(ctx context.Context, o Options) (*Mesh, error) {
+	deployment, err := examples.Get(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	m := &Mesh{
+		Deployment: deployment, Declaration: o.Declaration, options: o,
+		Keys:   make(map[mesh.Workspace]string),
+		random: rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	if m.Declaration == nil {
+		if m.Declaration, err = declaration.Parse(deployment.Declaration); err != nil {
+			return nil, err
+		}
+	}
+	if o.TLS {
+		if m.authority, err = devtls.New(); err != nil {
+			return nil, err
+		}
+	}
+	if err := m.start(ctx); err != nil {
+		m.Kill()
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *Mesh) start(ctx context.Context) error {
+	if err := m.startLog(); err != nil {
+		return err
+	}
+	if err := m.configure(ctx); err != nil {
+		return err
+	}
+	for _, group := range m.Deployment.Upstreams {
+		for i := range group.Count {
+			name := mesh.Host(fmt.Sprintf("%s-%d", group.Service, i+1))
+			dataCentre := m.Deployment.DataCentres[i%len(m.Deployment.DataCentres)]
+			h := &Host{Name: name, DataCentre: dataCentre, Group: group, mesh: m}
+			m.Hosts = append(m.Hosts, h)
+			if err := h.start(); err != nil {
+				return errors.Wrapf(err, "host %s", name)
+			}
+		}
+	}
+	return m.awaitServing(ctx)
+}
+
+func (m *Mesh) startLog() error {
+	m.Log = logserver.New(logserver.Config{AppendsPerSecond: m.options.Appends})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	m.LogURL = "http://" + listener.Addr().String()
+	m.logServer = &http.Server{Handler: m.Log.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = m.logServer.Serve(listener) }() // ends with Close
+	m.client = logservice.NewHTTPClient(m.LogURL, http.DefaultTransport)
+	return m.Log.SetFault(logserver.Fault{DelayMs: int(m.options.LogDelay.Milliseconds())})
+}
+
+// configure writes the declaration and one key per workspace to the log, as an
+// operator would before the first node starts.
+func (m *Mesh) configure(ctx context.Context) error {
+	state := config.New()
+	plan, err := config.Plan(state, m.Declaration)
+	if err != nil {
+		return err
+	}
+	if err := m.append(ctx, state, func(h config.Header) ([]byte, error) { return config.NewChange(h, plan) }); err != nil {
+		return err
+	}
+	for ws := range m.Declaration.Workspaces {
+		secret, r, err := keys.Issue(cryptoRandom, ws)
+		if err != nil {
+			return err
+		}
+		m.Keys[ws] = secret
+		key := config.Key{ID: string(r.ID), Hash: r.Hash, Workspace: ws}
+		issued := func(h config.Header) ([]byte, error) { return config.NewKeyIssued(h, key) }
+		if err := m.append(ctx, state, issued); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) append(ctx context.Context, state *config.State, build func(config.Header) ([]byte, error)) error {
+	token, err := config.NewToken(cryptoRandom)
+	if err != nil {
+		return err
+	}
+	by := mesh.NodeID{Host: "dev", Incarnation: 1}
+	data, err := build(config.Header{Token: token, By: by, At: time.Now(), After: state.Offset()})
+	if err != nil {
+		return err
+	}
+	offset, err := m.client.Append(ctx, config.Stream, data)
+	if err != nil {
+		return errors.Wrap(err, "append the declaration")
+	}
+	if v := state.Fold(offset, data); v.Kind != config.Accepted {
+		return errors.Errorf("record %d of the declaration: %s", offset, v)
+	}
+	return nil
+}
+
+// serveTimeout bounds the start of a mesh.
+const serveTimeout = 30 * time.Second
+
+// awaitServing waits until every node can serve every workspace.
+func (m *Mesh) awaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	for _, h := range m.Hosts {
+		for !h.Ready(len(m.Hosts)) {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("host %s does not serve after %s", h.Name, serveTimeout)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Stop stops every node gracefully; it cuts off no request unless ctx ends.
+func (m *Mesh) Stop(ctx context.Context) error {
+	var wait sync.WaitGroup
+	failures := make([]error, len(m.Hosts))
+	for i, h := range m.Hosts {
+		wait.Go(func() { failures[i] = h.Stop(ctx) })
+	}
+	wait.Wait()
+	m.Kill()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill ends everything at once.
+func (m *Mesh) Kill() {
+	for _, h := range m.Hosts {
+		h.Kill()
+	}
+	if m.logServer != nil {
+		_ = m.logServer.Close() // only closes sockets
+	}
+}
+
+// Host returns the host of that name, or nil.
+func (m *Mesh) Host(name mesh.Host) *Host {
+	for _, h := range m.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) incarnation() mesh.Incarnation {
+	var b [8]byte
+	_, _ = cryptoRandom.Read(b[:]) // crypto/rand does not fail
+	return mesh.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
+}
--- /dev/null
+++ b/internal/engine/assign.go
@@ -0,0 +1,296 @@
+package engine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/keys"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/quota"
+)
+
+// maxPanel is the size of the panel; it is odd, so that a majority is as small
+// as possible.
+const maxPanel = 15
+
+// maxPanelLarge is the size of the panel of a mesh over many data centres.
+const (
+	maxPanelLarge    = 35
+	largeDataCentres = 4
+)
+
+// assign keeps the assignments in the log up to date: this node's own entry,
+// the panel, the shares and the removal of dead nodes. Each task is done by the
+// node that ranks first for it; the fold rejects what two nodes do at once.
+func (n *Node) assign(now time.Duration) {
+	if n.control.logDown || !n.control.atHead || n.stopping {
+		return
+	}
+	if !n.joined() {
+		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
+		return
+	}
+	n.removeDead(now)
+	n.assignPanel(now)
+	n.assignShares(now)
+}
+
+// readToHead is called when a read has reached the head of the log.
+func (n *Node) readToHead(now, askedAt time.Duration) { n.reappend(now, askedAt) }
+
+// joined reports whether the log lists this incarnation.
+func (n *Node) joined() bool { return n.isMember(n.cfg.Self.Node) }
+
+// proposeOnce proposes a record unless the same task has one under way.
+func (n *Node) proposeOnce(now time.Duration, task string, build func(config.Header) ([]byte, error)) {
+	if token := n.control.tasks[task]; token != "" && n.control.proposals[token] != nil {
+		return
+	}
+	h := config.Header{By: n.cfg.Self.Node, At: time.Unix(0, n.wall(now)), After: n.state.Offset()}
+	for i := range h.Token {
+		h.Token[i] = byte(n.random.Uint32())
+	}
+	data, err := build(h)
+	if err != nil {
+		panic(errors.Wrapf(err, "record for task %q", task)) // all inputs are folded state
+	}
+	token := h.Token.String()
+	n.control.tasks[task] = token
+	n.propose(now, token, data, false)
+}
+
+// assigns reports whether this node ranks first for a task among the members
+// that it can reach.
+func (n *Node) assigns(task string) bool {
+	ranked := rank(task, n.reachable())
+	return len(ranked) > 0 && ranked[0].Node == n.cfg.Self.Node
+}
+
+// reachable returns the members of the log that this node has no reason to
+// believe dead.
+func (n *Node) reachable() []mesh.Member {
+	var members []mesh.Member
+	for _, m := range n.state.Members() {
+		if _, dead := n.control.unreachable[m.Node]; !dead {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// rank orders members for a key by rendezvous hash, best first.
+func rank(key string, members []mesh.Member) []mesh.Member {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b mesh.Member) int {
+		return cmp.Or(
+			-cmp.Compare(mesh.RendezvousScore(key, a.Node), mesh.RendezvousScore(key, b.Node)),
+			cmp.Compare(a.Node.Host, b.Node.Host))
+	})
+	return ranked
+}
+
+// removeDead records the departure of nodes that have been unreachable for
+// long. A node that is alive after all joins again when it reads this.
+func (n *Node) removeDead(now time.Duration) {
+	for _, m := range n.state.Members() {
+		since, dead := n.control.unreachable[m.Node]
+		if !dead || now-since < unreachableAfter || !n.assigns("remove "+string(m.Node.Host)) {
+			continue
+		}
+		n.proposeOnce(now, "remove "+m.Node.String(), func(h config.Header) ([]byte, error) {
+			return config.NewNodeLeft(h, m.Node, mesh.NodeID{})
+		})
+	}
+	for node := range n.control.unreachable {
+		if !n.isMember(node) {
+			delete(n.control.unreachable, node)
+		}
+	}
+}
+
+// isMember reports whether the log lists a node.
+func (n *Node) isMember(node mesh.NodeID) bool {
+	m, ok := n.state.Member(node.Host)
+	return ok && m.Node == node
+}
+
+// assignPanel names a new panel when a member of the current one has left, and
+// settles a new panel when it is in force.
+func (n *Node) assignPanel(now time.Duration) {
+	p := n.state.Panel()
+	if !p.Settled && p.Epoch > 0 {
+		n.settlePanel(now, p)
+		return
+	}
+	if !n.assigns("panel") {
+		return
+	}
+	want := n.wantedPanel(p)
+	if slices.Equal(want, p.Members) {
+		return
+	}
+	n.proposeOnce(now, "panel", func(h config.Header) ([]byte, error) { return config.NewPanel(h, p.Epoch+1, want) })
+}
+
+func (n *Node) settlePanel(now time.Duration, p config.Panel) {
+	if len(p.Previous) > 0 {
+		n.evidence.Watch(p.Offset)
+		if !n.evidence.Effective(now, p.Offset) {
+			return
+		}
+	}
+	if n.assigns("panel") {
+		n.proposeOnce(now, "settle", func(h config.Header) ([]byte, error) { return config.NewPanelSettled(h, p.Epoch) })
+	}
+}
+
+// wantedPanel keeps the members that are still there and fills up by rank, one
+// data centre after the other.
+func (n *Node) wantedPanel(p config.Panel) []mesh.NodeID {
+	members := rank("panel", n.reachable())
+	size := maxPanel
+	if n.dataCentres(members) >= largeDataCentres {
+		size = maxPanelLarge
+	}
+	size = min(size, len(members))
+	var want []mesh.NodeID
+	for _, id := range p.Members {
+		if len(want) < size && slices.ContainsFunc(members, func(m mesh.Member) bool { return m.Node == id }) {
+			want = append(want, id)
+		}
+	}
+	for len(want) < size {
+		want = append(want, nextForPanel(members, want))
+	}
+	slices.SortFunc(want, compareNodes)
+	return want
+}
+
+func compareNodes(a, b mesh.NodeID) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func (n *Node) dataCentres(members []mesh.Member) int {
+	seen := make(map[mesh.DataCentre]bool)
+	for _, m := range members {
+		seen[m.DataCentre] = true
+	}
+	return len(seen)
+}
+
+// nextForPanel returns the best ranked member that is not chosen yet, from the
+// data centre with the fewest chosen.
+func nextForPanel(ranked []mesh.Member, chosen []mesh.NodeID) mesh.NodeID {
+	perDataCentre := make(map[mesh.DataCentre]int)
+	taken := make(map[mesh.NodeID]bool)
+	for _, id := range chosen {
+		taken[id] = true
+	}
+	for _, m := range ranked {
+		if taken[m.Node] {
+			perDataCentre[m.DataCentre]++
+		}
+	}
+	var best *mesh.Member
+	for i, m := range ranked {
+		if taken[m.Node] {
+			continue
+		}
+		if best == nil || perDataCentre[m.DataCentre] < perDataCentre[best.DataCentre] {
+			best = &ranked[i]
+		}
+	}
+	return best.Node
+}
+
+// assignShares assigns the shares of a workspace that have no live holder.
+// Shares with a live holder stay where they are.
+func (n *Node) assignShares(now time.Duration) {
+	for _, ws := range sortedWorkspaces(n.state.Mesh()) {
+		if !n.lacksHolder(ws) || !n.assigns("shares "+string(ws)) {
+			continue
+		}
+		if want := n.wantedShares(ws); len(want) > 0 {
+			epoch := n.state.SharesEpoch(ws)
+			n.proposeOnce(now, "shares "+string(ws), func(h config.Header) ([]byte, error) {
+				return config.NewShares(h, ws, epoch, want)
+			})
+		}
+	}
+}
+
+// lacksHolder reports whether a share of the workspace has no live holder.
+func (n *Node) lacksHolder(ws mesh.Workspace) bool {
+	shares := n.state.Shares(ws)
+	for _, s := range shares {
+		if !n.isMember(s.Holder) {
+			return true
+		}
+	}
+	return len(shares) == 0
+}
+
+// wantedShares returns the holders of the shares by index. The number of shares
+// stays as it is: a change would stop all shares of the workspace at once.
+func (n *Node) wantedShares(ws mesh.Workspace) []mesh.NodeID {
+	members := rank("shares "+string(ws), n.reachable())
+	current := n.state.Shares(ws)
+	count := len(current)
+	if count == 0 {
+		count = quota.ShareCount(n.state.Mesh().Workspaces[ws].Burst, len(members))
+	}
+	holders := make([]mesh.NodeID, count)
+	used := make(map[mesh.NodeID]bool)
+	for i, s := range current {
+		if n.isMember(s.Holder) {
+			holders[i] = s.Holder
+			used[s.Holder] = true
+		}
+	}
+	for i := range holders {
+		if holders[i] == (mesh.NodeID{}) {
+			holders[i] = firstUnused(members, used)
+			used[holders[i]] = true
+		}
+	}
+	return holders
+}
+
+// firstUnused returns the best ranked member without a share, or the best
+// ranked one if all have one.
+func firstUnused(ranked []mesh.Member, used map[mesh.NodeID]bool) mesh.NodeID {
+	for _, m := range ranked {
+		if !used[m.Node] {
+			return m.Node
+		}
+	}
+	return ranked[0].Node
+}
+
+func sortedWorkspaces(m *declaration.Mesh) []mesh.Workspace {
+	return slices.Sorted(maps.Keys(m.Workspaces))
+}
+
+func sortedTokens(proposals map[string]*proposal) []string {
+	tokens := make([]string, 0, len(proposals))
+	for token := range proposals {
+		tokens = append(tokens, token)
+	}
+	slices.Sort(tokens)
+	return tokens
+}
+
+func sortedKeyIDs(withdrawals map[keys.ID]*withdrawal) []keys.ID {
+	ids := make([]keys.ID, 0, len(withdrawals))
+	for id := range withdrawals {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/engine/log.go
@@ -0,0 +1,266 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/admission"
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/evidence"
+	"cardamomhatch/internal/keys"
+	"cardamomhatch/internal/logservice"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/quota"
+	"cardamomhatch/internal/timeline"
+)
+
+// fetchInterval is the least time between two requests for records to peers.
+const fetchInterval = 200 * time.Millisecond
+
+func (n *Node) logRead(now time.Duration, ev *LogRead) {
+	n.setLogDown(false)
+	if ev.Page.First > n.state.Offset() {
+		n.control.gap = true
+		n.fetchFromSeeds(now)
+		return
+	}
+	n.fold(now, ev.Page.Records)
+	toHead := n.state.Offset() >= ev.Page.Head
+	n.control.atHead = n.control.atHead || toHead
+	n.evidence.LogRead(ev.AskedAt, toHead, n.state.Offset())
+	n.setKnowledge(now)
+	if toHead {
+		n.control.gap = false
+		n.readToHead(now, ev.AskedAt)
+	}
+}
+
+func (n *Node) logFailed(ev *LogFailed) {
+	var truncated *logservice.ErrTruncated
+	if errors.As(ev.Err, &truncated) {
+		n.control.gap = true
+		return
+	}
+	n.setLogDown(true)
+}
+
+func (n *Node) setLogDown(down bool) {
+	n.control.logDown = down
+	n.members.SetLogDown(down)
+}
+
+// fold applies records in offset order. Records that were folded before, for
+// example because a peer passed them on, are skipped.
+func (n *Node) fold(now time.Duration, records []logservice.Record) {
+	var touched changes
+	for _, r := range records {
+		if r.Offset != n.state.Offset() {
+			continue
+		}
+		v := n.state.Fold(r.Offset, r.Data)
+		n.keep(r)
+		if v.Kind == config.Accepted {
+			touched.add(r.Data)
+		}
+	}
+	if n.state.Offset() == n.control.applied {
+		return
+	}
+	n.apply(now, touched)
+	n.settleProposals()
+}
+
+func (n *Node) keep(r logservice.Record) {
+	if len(n.control.kept) == maxKeptRecords {
+		copy(n.control.kept, n.control.kept[maxKeptRecords/2:])
+		n.control.kept = n.control.kept[:maxKeptRecords/2]
+	}
+	n.control.kept = append(n.control.kept, r)
+}
+
+// changes tells which parts of the configuration a batch of records touched.
+type changes struct {
+	mesh, members, panel, shares bool
+	keys                         []string // ids; nil with allKeys
+	allKeys                      bool
+}
+
+func (c *changes) add(data []byte) {
+	switch kind, keyID := config.Inspect(data); kind {
+	case config.KindChange:
+		c.mesh = true
+	case config.KindKeyIssued, config.KindKeyWithdrawn:
+		c.keys = append(c.keys, keyID)
+	case config.KindNodeJoined, config.KindNodeLeft:
+		c.members = true
+	case config.KindPanel, config.KindPanelSettled:
+		c.panel = true
+	case config.KindShares:
+		c.shares = true
+	}
+}
+
+// apply brings the slices in line with the folded configuration.
+func (n *Node) apply(now time.Duration, c changes) {
+	n.control.applied = n.state.Offset()
+	if c.mesh {
+		n.applyMesh(now)
+	}
+	n.applyKeys(now, c)
+	if c.members {
+		n.foldMembers(now)
+	}
+	if c.panel {
+		n.evidence.SetPanel(now, evidence.Panel(n.state.Panel()))
+	}
+	if c.shares || c.mesh {
+		n.applyShares(now)
+	}
+	n.setKnowledge(now)
+}
+
+func (n *Node) applyMesh(now time.Duration) {
+	m := n.state.Mesh()
+	n.routes = newRouteTable(m.Routes)
+	n.setEdges(m.Edges)
+	limits := make([]quota.Limit, 0, len(m.Workspaces))
+	weights := make([]admission.Weight, 0, len(m.Workspaces))
+	for _, ws := range sortedWorkspaces(m) {
+		w := m.Workspaces[ws]
+		limits = append(limits, quota.Limit{Workspace: w.Name, RatePerSecond: w.RatePerSecond, Burst: w.Burst})
+		weights = append(weights, admission.Weight{Workspace: w.Name, Weight: w.Weight})
+	}
+	n.quota.SetLimits(now, limits)
+	n.admission.SetWeights(weights)
+	n.recordEvent(now, timeline.Event{Kind: timeline.Revision, Value: int64(n.state.Revision())})
+}
+
+func (n *Node) applyKeys(now time.Duration, c changes) {
+	if c.allKeys {
+		n.replaceKeys()
+		for _, k := range n.state.Keys() {
+			n.keys.Add(keys.Record{ID: keys.ID(k.ID), Hash: k.Hash, Workspace: k.Workspace})
+		}
+		for _, id := range n.state.Withdrawn() {
+			n.keys.Folded(keys.ID(id))
+		}
+	}
+	for _, id := range c.keys {
+		k, ok := n.state.Key(id)
+		if ok && !k.Withdrawn {
+			n.keys.Add(keys.Record{ID: keys.ID(k.ID), Hash: k.Hash, Workspace: k.Workspace})
+			continue
+		}
+		if !n.keys.Withdrawn(keys.ID(id)) {
+			n.recordEvent(now, timeline.Event{Kind: timeline.Withdrawn, Workspace: k.Workspace})
+		}
+		n.keys.Folded(keys.ID(id))
+	}
+}
+
+// replaceKeys starts a new key table that holds only the pending withdrawals:
+// a snapshot no longer lists keys that were withdrawn long before it.
+func (n *Node) replaceKeys() {
+	pending := n.keys.Pending()
+	n.keys = keys.New()
+	for _, id := range pending {
+		n.keys.Withdraw(id)
+	}
+}
+
+// foldMembers passes the member list of the log on, with the successors of the
+// nodes that left.
+func (n *Node) foldMembers(now time.Duration) {
+	members := n.state.Members()
+	for _, old := range n.control.folded {
+		if successor, departed := n.state.Departed(old.Node); departed {
+			n.members.FoldLeft(old.Node, successor)
+			n.tickets.Redirect(now, old.Node, successor)
+		}
+	}
+	n.control.folded = members
+	n.members.Fold(members)
+	n.applyMembers(now)
+}
+
+func (n *Node) applyMembers(now time.Duration) {
+	for _, service := range n.members.Changed() {
+		n.routing.SetMembers(now, service, n.members.Service(service))
+	}
+}
+
+func (n *Node) applyShares(now time.Duration) {
+	for ws := range n.state.Mesh().Workspaces {
+		n.quota.SetShares(now, ws, sharesOf(n.state.Shares(ws)))
+	}
+}
+
+// fetchIfBehind asks a peer that knows more for what this node lacks.
+func (n *Node) fetchIfBehind(now time.Duration) {
+	if now < n.control.nextFetch {
+		return
+	}
+	if peer, behind := n.evidence.Behind(); behind {
+		n.control.nextFetch = now + fetchInterval
+		n.post(peer, RecordsRequest{From: n.state.Offset()})
+		return
+	}
+	if !n.configured() && (n.control.logDown || n.control.gap) {
+		n.fetchFromSeeds(now)
+	}
+}
+
+func (n *Node) fetchFromSeeds(now time.Duration) {
+	if now < n.control.nextFetch {
+		return
+	}
+	n.control.nextFetch = now + fetchInterval
+	for _, seed := range n.cfg.Seeds {
+		n.out = append(n.out, Effect{Kind: Send, Member: seed, Envelope: mesh.Envelope{
+			From: n.cfg.Self.Node, To: seed.Node, Message: RecordsRequest{From: n.state.Offset()},
+		}})
+	}
+}
+
+func (n *Node) recordsRequested(from mesh.NodeID, m RecordsRequest) {
+	reply := RecordsReply{Pending: n.keys.Pending()}
+	for _, r := range n.control.kept {
+		if r.Offset >= m.From {
+			reply.Records = append(reply.Records, r)
+		}
+	}
+	missing := m.From < n.state.Offset() && (len(reply.Records) == 0 || reply.Records[0].Offset > m.From)
+	if missing && n.configured() {
+		if snapshot, err := n.state.Snapshot(); err == nil {
+			reply.Records, reply.Snapshot = nil, snapshot
+		}
+	}
+	n.post(from, reply)
+}
+
+func (n *Node) recordsReceived(now time.Duration, m RecordsReply) {
+	if len(m.Snapshot) > 0 {
+		n.restore(now, m.Snapshot)
+	}
+	n.fold(now, m.Records)
+	for _, id := range m.Pending {
+		if n.keys.Withdraw(id) {
+			n.withdrawalLearned(now, id)
+		}
+	}
+	n.evidence.Covers(keys.Digest(m.Pending))
+	n.setKnowledge(now)
+}
+
+// restore takes a snapshot if it is newer than what this node knows.
+func (n *Node) restore(now time.Duration, data []byte) {
+	state, err := config.Restore(data)
+	if err != nil || state.Offset() <= n.state.Offset() {
+		return
+	}
+	n.state = state
+	n.control.kept = n.control.kept[:0]
+	n.control.gap = false
+	n.apply(now, changes{mesh: true, members: true, panel: true, shares: true, allKeys: true})
+}
--- /dev/null
+++ b/internal/engine/node_test.go
@@ -0,0 +1,167 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+const testMesh = `
+[mesh]
+name = test
+
+[service shop]
+[service stock]
+
+[edge shop stock]
+calls_per_parent = 1
+idempotent = true
+
+[route GET /items/{id}]
+service = shop
+idempotent = true
+class = normal
+timeout = 1s
+
+[route POST /orders]
+service = shop
+idempotent = false
+class = critical
+timeout = 1s
+
+[workspace anna]
+rate_per_second = 100
+burst = 64
+weight = 1
+
+[workspace bjorn]
+rate_per_second = 10
+burst = 4
+weight = 1
+`
+
+func testCluster(t *testing.T, seed uint64) *cluster {
+	c := newCluster(t, seed, testMesh, "shop", "shop", "shop", "stock", "stock")
+	c.run(10 * time.Second) // joins, panel, shares; levels start empty and fill
+	return c
+}
+
+// Guards against a mesh that does not serve a call end to end from any node.
+func TestCallIsServedFromEveryNode(t *testing.T) {
+	c := testCluster(t, 1)
+	for _, n := range c.order {
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); !got.whole {
+			t.Fatalf("entry %s: %v", n.member.Node.Host, got.refusal)
+		}
+	}
+}
+
+// Guards against calls that run without a key, with a withdrawn key, or for a
+// route that is not declared.
+func TestEntryRefusals(t *testing.T) {
+	c := testCluster(t, 2)
+	n := c.order[0]
+	c.secrets["nobody"] = "ch_none_none"
+	if got := c.call1(n, "nobody", "GET", "/items/1", ""); got.refusal.Reason != outcome.KeyInvalid {
+		t.Fatalf("unknown key: %+v", got)
+	}
+	if got := c.call1(n, "anna", "GET", "/nowhere", ""); got.refusal.Reason != outcome.NoRoute {
+		t.Fatalf("unknown route: %+v", got)
+	}
+	id := c.order[1].State().Keys()
+	for _, k := range id {
+		if k.Workspace == "anna" {
+			c.step(c.order[1], &KeyWithdrawn{ID: k.ID})
+		}
+	}
+	c.run(2 * time.Second)
+	for _, n := range c.order {
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); got.refusal.Reason != outcome.KeyWithdrawn {
+			t.Fatalf("withdrawn key at %s: %+v", n.member.Node.Host, got)
+		}
+	}
+}
+
+// Guards against a second execution when a customer repeats an order through
+// other entry nodes.
+func TestTicketRunsOnce(t *testing.T) {
+	c := testCluster(t, 3)
+	c.step(c.order[0], &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
+	ticket := c.ends[callName{c.order[0].member.Node.Host, c.nextCall}].ticket
+	for _, n := range c.order {
+		if got := c.call1(n, "anna", "POST", "/orders", ticket); !got.whole {
+			t.Fatalf("entry %s: %+v", n.member.Node.Host, got)
+		}
+	}
+	total := 0
+	for _, runs := range c.runs {
+		total += runs
+	}
+	if total != 1 {
+		t.Fatalf("the order ran %d times", total)
+	}
+}
+
+// Guards against an outage of the log that stops calls, or a withdrawal that
+// does not spread without the log.
+func TestLogOutage(t *testing.T) {
+	c := testCluster(t, 4)
+	c.logDown = true
+	c.run(30 * time.Second)
+	for _, n := range c.order {
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); !got.whole {
+			t.Fatalf("entry %s: %v", n.member.Node.Host, got.refusal)
+		}
+	}
+	for _, k := range c.order[0].State().Keys() {
+		if k.Workspace == "anna" {
+			c.step(c.order[0], &KeyWithdrawn{ID: k.ID})
+		}
+	}
+	c.run(2 * time.Second)
+	for _, n := range c.order {
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); got.refusal.Reason != outcome.KeyWithdrawn {
+			t.Fatalf("withdrawn key at %s: %+v", n.member.Node.Host, got)
+		}
+	}
+}
+
+// Guards against a node without log and majority that goes on serving.
+func TestMinorityRefuses(t *testing.T) {
+	c := testCluster(t, 5)
+	c.logDown = true
+	alone := c.order[0].member.Node.Host
+	c.cut = func(a, b mesh.Host) bool { return (a == alone) != (b == alone) }
+	c.run(5 * time.Second)
+	got := c.call1(c.order[0], "anna", "GET", "/items/1", "")
+	if got.refusal.Reason != outcome.KeysStale || got.refusal.Execution != outcome.NotRun {
+		t.Fatalf("isolated node: %+v", got)
+	}
+	if got := c.call1(c.order[1], "anna", "GET", "/items/1", ""); !got.whole {
+		t.Fatalf("majority: %v", got.refusal)
+	}
+}
+
+// Guards against a planned stop that loses an order's answer.
+func TestPlannedStopHandsTicketsOver(t *testing.T) {
+	c := testCluster(t, 6)
+	first := c.order[0]
+	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
+	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	if got := c.call1(first, "anna", "POST", "/orders", ticket); !got.whole {
+		t.Fatalf("order: %+v", got)
+	}
+	c.step(first, &StopRequested{})
+	c.run(5 * time.Second)
+	if !first.dead {
+		t.Fatal("the node has not stopped")
+	}
+	if got := c.call1(c.order[1], "anna", "POST", "/orders", ticket); !got.whole {
+		t.Fatalf("repeated order: %+v", got)
+	}
+	if len(c.runs) != 1 {
+		t.Fatalf("%d actions ran, want 1", len(c.runs))
+	}
+}
--- /dev/null
+++ b/internal/engine/proposal.go
@@ -0,0 +1,197 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/keys"
+	"cardamomhatch/internal/logservice"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/timeline"
+)
+
+// Times for proposals. A proposal that is not folded in proposalTimeout is
+// reported as undecided; its record may still be folded later.
+const (
+	proposalTimeout   = 10 * time.Second
+	withdrawalTimeout = 2 * time.Second
+	reappendInterval  = time.Second
+)
+
+// proposal is a record that this node has asked the log to append.
+type proposal struct {
+	token     string
+	id        config.Token
+	data      []byte
+	operator  bool // an operator waits for the decision
+	deadline  time.Duration
+	unknown   bool          // an append ended without an answer
+	unknownAt time.Duration // time of that end
+}
+
+// propose appends a record. A repeated append carries the same token and folds
+// only once.
+func (n *Node) propose(now time.Duration, token string, data []byte, operator bool) {
+	id, err := config.ParseToken(token)
+	if err != nil {
+		return
+	}
+	n.control.proposals[token] = &proposal{
+		token: token, id: id, data: data, operator: operator, deadline: now + proposalTimeout,
+	}
+	n.emit(Effect{Kind: Append, AppendID: token, Data: data})
+}
+
+func (n *Node) appendEnded(now time.Duration, ev *AppendEnded) {
+	p := n.control.proposals[ev.Token]
+	if p == nil || ev.Err == nil {
+		return
+	}
+	if errors.Is(ev.Err, logservice.ErrUnknown) {
+		p.unknown = true
+		p.unknownAt = now
+		return
+	}
+	delete(n.control.proposals, ev.Token)
+	n.reject(p, fmt.Sprintf("the log did not take the record: %v", ev.Err))
+}
+
+// reappend repeats appends that ended without an answer, once the log was read
+// to its head afterwards and the record is not there.
+func (n *Node) reappend(now, askedAt time.Duration) {
+	for _, token := range sortedTokens(n.control.proposals) {
+		p := n.control.proposals[token]
+		if p.unknown && askedAt >= p.unknownAt+reappendInterval {
+			p.unknown = false
+			n.emit(Effect{Kind: Append, AppendID: p.token, Data: p.data})
+		}
+	}
+}
+
+func (n *Node) expireProposals(now time.Duration) {
+	for _, token := range sortedTokens(n.control.proposals) {
+		p := n.control.proposals[token]
+		if now >= p.deadline {
+			delete(n.control.proposals, token)
+			n.reject(p, "the log has not confirmed the record; it may still take effect")
+		}
+	}
+}
+
+// settleProposals answers the proposals whose records have been folded.
+func (n *Node) settleProposals() {
+	for _, token := range sortedTokens(n.control.proposals) {
+		p := n.control.proposals[token]
+		offset, verdict, found := n.state.Find(p.id)
+		if !found {
+			continue
+		}
+		delete(n.control.proposals, token)
+		n.decided(p, verdict, offset)
+	}
+}
+
+func (n *Node) decided(p *proposal, v config.Verdict, offset uint64) {
+	if !p.operator {
+		return
+	}
+	if v.Kind == config.Accepted || v.Kind == config.Duplicate {
+		n.emit(Effect{Kind: Decided, AppendID: p.token, Decision: &Decision{Accepted: true, Offset: offset}})
+		return
+	}
+	n.reject(p, v.String())
+}
+
+func (n *Node) reject(p *proposal, reason string) {
+	if p.operator {
+		n.emit(Effect{Kind: Decided, AppendID: p.token, Decision: &Decision{Reason: reason}})
+	}
+}
+
+// withdrawal is a withdrawal of a key that an operator asked this node for.
+type withdrawal struct {
+	deadline time.Duration
+	waiting  bool // the operator has not been answered
+}
+
+// withdraw stops a key at once, tells the other nodes and writes it to the log.
+func (n *Node) withdraw(now time.Duration, id keys.ID) {
+	n.control.withdrawals[id] = &withdrawal{deadline: now + withdrawalTimeout, waiting: true}
+	if n.keys.Withdraw(id) {
+		n.withdrawalLearned(now, id)
+	}
+}
+
+// withdrawalLearned handles a withdrawal that is new to this node. Every node
+// that learns of one may write it to the log; the fold takes it once.
+func (n *Node) withdrawalLearned(now time.Duration, id keys.ID) {
+	n.recordEvent(now, timeline.Event{Kind: timeline.Withdrawn})
+	n.setKnowledge(now)
+	n.spread()
+	if _, asked := n.control.withdrawals[id]; asked {
+		n.appendWithdrawal(now, id)
+	}
+}
+
+func (n *Node) appendWithdrawal(now time.Duration, id keys.ID) {
+	n.proposeOnce(now, "withdraw "+string(id), func(h config.Header) ([]byte, error) {
+		return config.NewKeyWithdrawn(h, string(id))
+	})
+}
+
+// settleWithdrawals answers operators. A withdrawal is accepted when the log
+// carries it or a majority of the panel holds it.
+func (n *Node) settleWithdrawals(now time.Duration) {
+	for _, id := range sortedKeyIDs(n.control.withdrawals) {
+		w := n.control.withdrawals[id]
+		pending := n.isPending(id)
+		unconfirmed := n.keys.Unconfirmed(id, n.others())
+		done := len(unconfirmed) == 0 || now >= w.deadline
+		if w.waiting && done {
+			w.waiting = false
+			n.answerWithdrawal(id, !pending || n.heldByMajority(id), unconfirmed)
+		}
+		if !pending {
+			delete(n.control.withdrawals, id)
+		}
+	}
+	n.retryWithdrawals(now)
+}
+
+func (n *Node) answerWithdrawal(id keys.ID, accepted bool, unconfirmed []mesh.NodeID) {
+	d := &Decision{Accepted: accepted, Unconfirmed: unconfirmed}
+	if !accepted {
+		d.Reason = "neither the log nor a majority of the panel holds the withdrawal yet; it stays pending"
+	}
+	n.emit(Effect{Kind: Decided, AppendID: string(id), Decision: d})
+}
+
+// retryWithdrawals writes pending withdrawals to the log when it is back. One
+// node does it for those whose first node is gone.
+func (n *Node) retryWithdrawals(now time.Duration) {
+	if n.control.logDown || !n.assigns("withdrawals") || now < n.control.nextWithdrawal {
+		return
+	}
+	n.control.nextWithdrawal = now + reappendInterval
+	for _, id := range n.keys.Pending() {
+		n.appendWithdrawal(now, id)
+	}
+}
+
+func (n *Node) isPending(id keys.ID) bool {
+	for _, other := range n.keys.Pending() {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) heldByMajority(id keys.ID) bool {
+	return n.evidence.Majority(func(node mesh.NodeID) bool {
+		return node == n.cfg.Self.Node || n.keys.Confirmed(id, node)
+	})
+}
--- /dev/null
+++ b/internal/engine/stop.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"time"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/timeline"
+)
+
+// stopGrace bounds how long a planned stop waits for calls in flight.
+const stopGrace = 20 * time.Second
+
+// stopLinger is how long a stopped node goes on sending tickets and releases,
+// and redirecting calls, so that its peers learn of its successor.
+const stopLinger = 500 * time.Millisecond
+
+// stop begins a planned stop: no new work, then the end of the calls in flight,
+// then the handover of tickets and shares.
+func (n *Node) stop(now time.Duration) {
+	if n.stopping {
+		return
+	}
+	n.stopping = true
+	n.control.stopBy = now + stopGrace
+	n.members.Drain(now)
+	n.recordEvent(now, timeline.Event{Kind: timeline.Draining, Service: n.cfg.Self.Service})
+	successor, ok := n.members.ChooseSuccessor()
+	if !ok {
+		return
+	}
+	n.control.successor = successor.Node
+	n.tickets.Close(now, successor.Node)
+	n.envelopes = n.quota.HandOver(now, successor.Node, n.envelopes)
+}
+
+// stopIfDone ends a planned stop once nothing is in flight.
+func (n *Node) stopIfDone(now time.Duration) {
+	if !n.stopping || n.stopped {
+		return
+	}
+	if !n.control.handedOver {
+		if len(n.calls) == 0 || now >= n.control.stopBy {
+			n.handOver(now)
+		}
+		return
+	}
+	if now >= n.control.lingerUntil {
+		n.stopped = true
+		n.emit(Effect{Kind: Stopped})
+	}
+}
+
+func (n *Node) handOver(now time.Duration) {
+	n.control.handedOver = true
+	n.control.lingerUntil = now + stopLinger
+	h := n.tickets.Seal(now)
+	if n.control.successor != (mesh.NodeID{}) {
+		h.To = n.control.successor
+		n.post(n.control.successor, h)
+	}
+	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
+	n.envelopes = n.members.Leave(now, n.control.successor, n.envelopes)
+	n.proposeOnce(now, "leave", func(h config.Header) ([]byte, error) {
+		return config.NewNodeLeft(h, n.cfg.Self.Node, n.control.successor)
+	})
+}
