--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// benchCluster returns a node whose workspace has a rate that the benchmark
+// does not reach.
+func benchCluster(b *testing.B) (*cluster, *testNode) {
+	c := newCluster(b, 1, benchMesh, "shop", "shop", "shop", "stock", "stock")
+	c.run(10 * time.Second)
+	return c, c.order[3]
+}
+
+const benchMesh = `
+[mesh]
+name = bench
+[service shop]
+[service stock]
+[route GET /items/{id}]
+service = shop
+idempotent = true
+class = normal
+timeout = 1s
+[workspace anna]
+rate_per_second = 100000000
+burst = 100000000
+weight = 1
+`
+
+// BenchmarkEntryDecision measures key, quota, route and choice of node of one
+// call at its entry node, and the end of the call.
+func BenchmarkEntryDecision(b *testing.B) {
+	c, n := benchCluster(b)
+	secret := []byte(c.secrets["anna"])
+	arrived := &CallArrived{Secret: secret, Method: "GET", Path: "/items/1"}
+	answered := &Answered{Attempt: 1, Status: 200, Load: &Load{Limit: 100, Cut: mesh.OpenCut}}
+	ended := &RelayEnded{Attempt: 1, Whole: true}
+	now := c.now - n.start
+	out := make([]Effect, 0, 16)
+	refused := 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := mesh.CallID(1_000_000 + i)
+		arrived.Call, answered.Call, ended.Call = id, id, id
+		now += 10 * time.Microsecond
+		out = n.Step(now, arrived, out[:0])
+		if out[0].Kind != Forward {
+			refused++
+			continue
+		}
+		n.Step(now, answered, out[:0])
+		n.Step(now, ended, out[:0])
+		if i%1000 == 999 {
+			out = c.refill(n, now, out)
+		}
+	}
+	b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
+}
+
+// refill keeps the node's evidence and credit fresh without virtual time.
+func (c *cluster) refill(n *testNode, now time.Duration, out []Effect) []Effect {
+	c.now = n.start + now
+	c.run(0)
+	return out
+}
+
+// BenchmarkServingDecision measures admission and the end of one call at its
+// serving node.
+func BenchmarkServingDecision(b *testing.B) {
+	c, _ := benchCluster(b)
+	n := c.order[0]
+	arrived := &HopArrived{From: c.order[3].member.Node, Hop: Hop{
+		Workspace: "anna", Service: "shop", Class: mesh.ClassNormal, Remaining: time.Second, Idempotent: true,
+	}}
+	answered := &Answered{Status: 200}
+	ended := &RelayEnded{Whole: true}
+	now := c.now - n.start
+	out := make([]Effect, 0, 16)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := mesh.CallID(1_000_000 + i)
+		arrived.Call, answered.Call, ended.Call = id, id, id
+		arrived.Hop.Action = mesh.ActionID(i)
+		now += 10 * time.Microsecond
+		out = n.Step(now, arrived, out[:0])
+		if out[len(out)-1].Kind == Refuse && out[len(out)-1].Refusal.Reason != outcome.None {
+			b.Fatalf("refused: %+v", out[len(out)-1].Refusal)
+		}
+		n.Step(now, answered, out[:0])
+		n.Step(now, ended, out[:0])
+		if i%100_000 == 0 {
+			n.Step(now, announcement(n), out[:0])
+		}
+	}
+}
--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -18,7 +18,7 @@
 // cluster drives several nodes in virtual time with a fake network, log and
 // upstreams. Equal seeds give equal runs.
 type cluster struct {
-	t      *testing.T
+	t      testing.TB
 	now    time.Duration
 	queue  eventQueue
 	serial uint64
@@ -93,7 +93,7 @@
 	logPoll      = 20 * time.Millisecond
 )
 
-func newCluster(t *testing.T, seed uint64, files string, services ...mesh.Service) *cluster {
+func newCluster(t testing.TB, seed uint64, files string, services ...mesh.Service) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[mesh.NodeID]*testNode{},
 		service: 5 * time.Millisecond, secrets: map[mesh.Workspace]string{}, ends: map[callName]end{},
@@ -183,8 +183,10 @@
 	return n
 }
 
-func (c *cluster) announce(n *testNode) {
-	c.step(n, &UpstreamAnnounced{Service: n.member.Service, URL: "http://upstream", Slots: 20, Connections: 100, Ready: true})
+func (c *cluster) announce(n *testNode) { c.step(n, announcement(n)) }
+
+func announcement(n *testNode) *UpstreamAnnounced {
+	return &UpstreamAnnounced{Service: n.member.Service, URL: "http://upstream", Slots: 20, Connections: 100, Ready: true}
 }
 
 func (c *cluster) kill(n *testNode) {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -45,6 +45,7 @@
 	unreachable map[mesh.NodeID]time.Duration // since when
 	watched     map[uint64]bool               // offsets of share records that wait to be in force
 	fresh       bool
+	freshUntil  time.Duration // as of the last change of the evidence
 
 	nextWithdrawal time.Duration
 
@@ -134,6 +135,7 @@
 // it.
 func (n *Node) evidenceChanged(now time.Duration) {
 	until := n.evidence.FreshUntil()
+	n.control.freshUntil = until
 	n.quota.SetFreshUntil(until)
 	fresh := now < until
 	if fresh == n.control.fresh {
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -31,7 +31,7 @@
 	if reason != outcome.None {
 		return "", reason
 	}
-	if now >= n.evidence.FreshUntil() {
+	if now >= n.control.freshUntil {
 		return "", outcome.KeysStale
 	}
 	return workspace, outcome.None
