--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -32,7 +32,14 @@
 	if n.control.logDown || !n.control.atHead || n.stopping {
 		return
 	}
+	settled := !n.control.assignDirty && len(n.control.unreachable) == 0
+	if settled && now < n.control.assignCheck {
+		return
+	}
+	n.control.assignDirty = false
+	n.control.assignCheck = now + assignCheckInterval
 	if !n.joined() {
+		n.control.assignDirty = true
 		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
 		return
 	}
@@ -68,16 +75,26 @@
 // assigns reports whether this node ranks first for a task among the members
 // that it can reach.
 func (n *Node) assigns(task string) bool {
-	ranked := rank(task, n.reachable())
-	return len(ranked) > 0 && ranked[0].Node == n.cfg.Self.Node
+	own := mesh.RendezvousScore(task, n.cfg.Self.Node)
+	for _, m := range n.control.folded {
+		if mesh.RendezvousScore(task, m.Node) > own && !n.isUnreachable(m.Node) {
+			return false
+		}
+	}
+	return n.joined()
+}
+
+func (n *Node) isUnreachable(node mesh.NodeID) bool {
+	_, dead := n.control.unreachable[node]
+	return dead
 }
 
 // reachable returns the members of the log that this node has no reason to
 // believe dead.
 func (n *Node) reachable() []mesh.Member {
-	var members []mesh.Member
-	for _, m := range n.state.Members() {
-		if _, dead := n.control.unreachable[m.Node]; !dead {
+	members := make([]mesh.Member, 0, len(n.control.folded))
+	for _, m := range n.control.folded {
+		if !n.isUnreachable(m.Node) {
 			members = append(members, m)
 		}
 	}
@@ -87,30 +104,33 @@
 // rank orders members for a key by rendezvous hash, best first.
 func rank(key string, members []mesh.Member) []mesh.Member {
 	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b mesh.Member) int {
+	slices.SortFunc(ranked, byRank(key))
+	return ranked
+}
+
+func byRank(key string) func(a, b mesh.Member) int {
+	return func(a, b mesh.Member) int {
 		return cmp.Or(
 			-cmp.Compare(mesh.RendezvousScore(key, a.Node), mesh.RendezvousScore(key, b.Node)),
 			cmp.Compare(a.Node.Host, b.Node.Host))
-	})
-	return ranked
+	}
 }
 
 // removeDead records the departure of nodes that have been unreachable for
 // long. A node that is alive after all joins again when it reads this.
 func (n *Node) removeDead(now time.Duration) {
-	for _, m := range n.state.Members() {
-		since, dead := n.control.unreachable[m.Node]
-		if !dead || now-since < unreachableAfter || !n.assigns("remove "+string(m.Node.Host)) {
-			continue
-		}
-		n.proposeOnce(now, "remove "+m.Node.String(), func(h config.Header) ([]byte, error) {
-			return config.NewNodeLeft(h, m.Node, mesh.NodeID{})
-		})
-	}
-	for node := range n.control.unreachable {
+	for _, node := range slices.SortedFunc(maps.Keys(n.control.unreachable), compareNodes) {
 		if !n.isMember(node) {
 			delete(n.control.unreachable, node)
+			continue
 		}
+		overdue := now-n.control.unreachable[node] >= unreachableAfter
+		if !overdue || !n.assigns("remove "+string(node.Host)) {
+			continue
+		}
+		n.proposeOnce(now, "remove "+node.String(), func(h config.Header) ([]byte, error) {
+			return config.NewNodeLeft(h, node, mesh.NodeID{})
+		})
 	}
 }
 
@@ -125,6 +145,7 @@
 func (n *Node) assignPanel(now time.Duration) {
 	p := n.state.Panel()
 	if !p.Settled && p.Epoch > 0 {
+		n.control.assignDirty = true
 		n.settlePanel(now, p)
 		return
 	}
@@ -135,6 +156,7 @@
 	if slices.Equal(want, p.Members) {
 		return
 	}
+	n.control.assignDirty = true
 	n.proposeOnce(now, "panel", func(h config.Header) ([]byte, error) { return config.NewPanel(h, p.Epoch+1, want) })
 }
 
@@ -213,7 +235,11 @@
 // Shares with a live holder stay where they are.
 func (n *Node) assignShares(now time.Duration) {
 	for _, ws := range sortedWorkspaces(n.state.Mesh()) {
-		if !n.lacksHolder(ws) || !n.assigns("shares "+string(ws)) {
+		if !n.lacksHolder(ws) {
+			continue
+		}
+		n.control.assignDirty = true // until a holder is in the log, whoever assigns it
+		if !n.assigns("shares " + string(ws)) {
 			continue
 		}
 		if want := n.wantedShares(ws); len(want) > 0 {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -16,10 +16,13 @@
 
 // Intervals of the control plane.
 const (
-	controlInterval  = 50 * time.Millisecond
-	spreadInterval   = 200 * time.Millisecond
-	assignInterval   = 500 * time.Millisecond
-	unreachableAfter = 10 * time.Second
+	controlInterval = 50 * time.Millisecond
+	spreadInterval  = 200 * time.Millisecond
+	assignInterval  = 500 * time.Millisecond
+	// assignCheckInterval is how often assignments are checked when nothing has
+	// changed, in case the node that should have acted has not.
+	assignCheckInterval = 5 * time.Second
+	unreachableAfter    = 10 * time.Second
 )
 
 // maxKeptRecords bounds the records kept for peers that are behind; a peer that
@@ -38,6 +41,8 @@
 	nextSpread  time.Duration
 	nextAssign  time.Duration
 	nextFetch   time.Duration
+	assignDirty bool // the assignments may need a change
+	assignCheck time.Duration
 	proposals   map[string]*proposal
 	tasks       map[string]string // token of the proposal of an assignment task
 	withdrawals map[keys.ID]*withdrawal
@@ -259,8 +264,8 @@
 
 // others returns all known nodes but this one.
 func (n *Node) others() []mesh.NodeID {
-	var nodes []mesh.NodeID
-	for _, m := range n.state.Members() {
+	nodes := make([]mesh.NodeID, 0, len(n.control.folded))
+	for _, m := range n.control.folded {
 		if m.Node != n.cfg.Self.Node {
 			nodes = append(nodes, m.Node)
 		}
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -104,6 +105,7 @@
 // apply brings the slices in line with the folded configuration.
 func (n *Node) apply(now time.Duration, c changes) {
 	n.control.applied = n.state.Offset()
+	n.control.assignDirty = true
 	if c.mesh {
 		n.applyMesh(now)
 	}
@@ -182,6 +184,36 @@
 	n.control.folded = members
 	n.members.Fold(members)
 	n.applyMembers(now)
+	n.evidence.SetRelays(n.relays())
+}
+
+// Evidence and pending withdrawals reach a large fleet through a few relays in
+// each data centre, so that the panel's work does not grow with the fleet.
+const (
+	relayFleet = 64 // members from which relays are used
+	relayCount = 3  // relays in each data centre
+)
+
+// relays returns the relays of this node's data centre, or none in a small
+// fleet, where every node asks the panel itself.
+func (n *Node) relays() []mesh.NodeID {
+	if len(n.control.folded) < relayFleet {
+		return nil
+	}
+	best := make([]mesh.Member, 0, relayCount+1)
+	for _, m := range n.control.folded {
+		if m.DataCentre != n.cfg.Self.DataCentre {
+			continue
+		}
+		best = append(best, m)
+		slices.SortFunc(best, byRank("relay"))
+		best = best[:min(len(best), relayCount)]
+	}
+	nodes := make([]mesh.NodeID, len(best))
+	for i, m := range best {
+		nodes[i] = m.Node
+	}
+	return nodes
 }
 
 func (n *Node) applyMembers(now time.Duration) {
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -172,7 +172,7 @@
 // retryWithdrawals writes pending withdrawals to the log when it is back. One
 // node does it for those whose first node is gone.
 func (n *Node) retryWithdrawals(now time.Duration) {
-	if n.control.logDown || !n.assigns("withdrawals") || now < n.control.nextWithdrawal {
+	if now < n.control.nextWithdrawal || n.control.logDown || len(n.keys.Pending()) == 0 || !n.assigns("withdrawals") {
 		return
 	}
 	n.control.nextWithdrawal = now + reappendInterval
