--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -278,7 +278,7 @@
 
 func (l *limiter) grow() {
 	l.limit += l.step
-	l.step = min(2*l.step, max(l.limit/2, 1))
+	l.step = min(2*l.step, l.limit)
 	l.hold = minHold
 	l.grew = true
 	l.clamp()
