--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -193,7 +193,7 @@
 	deviation := spread * math.Sqrt(1/n+1/max(l.baseWeight, 1))
 	full := float64(l.win.peak) >= fullShare*math.Floor(l.limit)
 	if !l.grew {
-		l.rebase(mean, deviation, full)
+		l.rebase(mean, deviation)
 	}
 	l.grew = false
 	if l.proven > 0 && l.win.shed == 0 && float64(l.win.peak) >= math.Floor(l.limit) {
@@ -208,7 +208,9 @@
 	case l.win.shed > 0:
 		l.hold = min(2*l.hold, maxHold)
 	case congested && !full:
-		l.setBase(mean)
+		// The limit has no effect on what is in flight, so it cannot be tested.
+		l.limit = max(float64(l.win.peak), l.floor)
+		l.clamp()
 	case l.limit > l.floor && (congested && l.suspected || held && now-l.heldSince >= l.recalibrate):
 		l.startVerify(now, mean)
 	case l.win.blocked && (l.proven == 0 || l.proven >= l.limit) && mean-deviation <= growBelow*l.base && now >= l.growAt:
@@ -219,16 +221,16 @@
 	return true
 }
 
-// rebase follows the own time without congestion. Below the limit it follows in
-// both directions: a rise cannot come from the limit. At the limit it follows
-// only what is within the noise, and recalibration corrects the drift.
-func (l *limiter) rebase(mean, deviation float64, full bool) {
+// rebase follows the own time without congestion: every fall, and a rise only
+// within the noise, because a rise may come from more calls in flight. A slower
+// service is recognized by a verification, and drift by recalibration.
+func (l *limiter) rebase(mean, deviation float64) {
 	fell := mean+clearNoise*deviation < clearlyFaster*l.base
 	switch {
 	case l.base == 0, fell && l.fell:
 		l.setBase(mean)
 	case fell:
-	case !full, mean-significance*deviation < l.base:
+	case mean-significance*deviation < l.base:
 		l.baseWeight = min(l.baseWeight+float64(l.win.n), baseMemory)
 		l.base += float64(l.win.n) / l.baseWeight * (mean - l.base)
 	}
