--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -12,7 +12,7 @@
 	minWindow       = 50 * time.Millisecond
 	maxWindow       = time.Second
 	minSamples      = 16
-	maxBlind        = 2   // doublings of the limit before the first base
+	maxBlind        = 3   // doublings of the limit before the first base
 	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
 	maxVerify       = 100 // samples after which a verification is decided in any case
 	verifyFactor    = 0.7 // limit during a verification, of the limit before
@@ -160,15 +160,18 @@
 		l.held = 0
 	}
 	length := now - l.win.start
-	if length < minWindow || length < min(time.Duration(l.service), maxWindow) {
+	if length < minWindow {
 		return
 	}
-	if l.base == 0 && l.proven == 0 && l.win.blocked && l.win.shed == 0 && l.blind < maxBlind {
+	if l.base == 0 && l.proven == 0 && l.win.blocked && l.blind < maxBlind {
 		l.blind++
 		l.grow()
 		l.win = window{start: now, peak: inFlight}
 		return
 	}
+	if length < min(time.Duration(l.service), maxWindow) {
+		return
+	}
 	if l.win.n < minSamples && length < maxWindow {
 		return
 	}
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -192,12 +192,8 @@
 	}
 }
 
-var reasonHook = func(*action, string) {}
-var traceHook = func(*model) {}
-
 // tick refreshes the cut at the entry, a round trip late, and the queues.
 func (m *model) tick() {
-	traceHook(m)
 	cut := mesh.OpenCut
 	for k, u := range m.layers {
 		cut = cut.Tighter(u.ctrl.Cut(m.now))
@@ -251,7 +247,6 @@
 	a.started = m.now
 	a.live = map[*modelCall]struct{}{}
 	if !m.cuts.Admits(a.class, a.id) {
-		reasonHook(a, "cut")
 		m.ended(a, false)
 		return
 	}
@@ -330,7 +325,6 @@
 		if step.Decision == Run {
 			m.start(c)
 		} else {
-			reasonHook(c.act, step.Reason.String())
 			m.finish(c, false)
 		}
 	}
