--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
@@ -31,7 +33,7 @@
 
 // forward sends the call to the peer listener of another node.
 func (c *call) forward(e *engine.Effect) {
-	header := cloneHeader(c.header)
+	header := c.attemptHeader()
 	header[engine.HopHeader] = []string{e.Hop.Encode()}
 	header[peer.FromHeader] = []string{peer.FormatNode(c.node.cfg.Self)}
 	target := c.target
@@ -58,7 +60,7 @@
 	if workspace == "" {
 		workspace = c.workspace
 	}
-	header := cloneHeader(c.header)
+	header := c.attemptHeader()
 	header[engine.CallHeader] = []string{e.Token.String()}
 	header[engine.WorkspaceHeader] = []string{string(workspace)}
 	header[engine.TimeoutHeader] = []string{milliseconds(e.Remaining)}
@@ -72,10 +74,19 @@
 	})
 }
 
-func cloneHeader(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
-	for name, values := range h {
-		out[name] = values
+// attemptHeader returns the header for the next attempt, without the internal
+// headers of earlier ones. The first attempt uses the header of the call
+// itself; later ones a copy, because a cancelled attempt may still read its own.
+func (c *call) attemptHeader() http.Header {
+	if !c.tried {
+		c.tried = true
+		return c.header
+	}
+	out := make(http.Header, len(c.header))
+	for name, values := range c.header {
+		if !internal(name) && name != "Expect" {
+			out[name] = values
+		}
 	}
 	return out
 }
@@ -87,25 +98,42 @@
 		c.failed(a.number, outcome.NotRun, outcome.CallerGone)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.limit)
+	until := time.Now().Add(a.limit)
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	proof := &proof{}
-	request := c.request(httptrace.WithClientTrace(ctx, proof.trace(cancel)), a)
+	request, stream := c.request(httptrace.WithClientTrace(ctx, proof.trace(cancel)), a)
+	keep := func() bool { return true }
+	if c.stream = stream; stream != nil {
+		keep = context.AfterFunc(ctx, func() { stream.abandon(c.w) })
+	}
 	c.begin(cancel)
 	resp, err := a.rt.RoundTrip(request)
 	c.end()
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		err = errSwitched
+	}
 	if err != nil {
 		cause := ctx.Err()
-		cancel()
-		request.Body.Close()
 		execution := proof.execution()
+		cancel() // abandons a streamed body
 		c.failed(a.number, execution, c.reason(a, execution, cause))
 		return
 	}
-	c.held, c.heldCancel = resp, cancel
+	c.held, c.heldUntil = resp, until
+	c.heldCancel = func() {
+		keep()
+		cancel()
+	}
 	c.node.Step(c.answered(a, resp))
 }
 
-func (c *call) request(ctx context.Context, a *attempt) *http.Request {
+// errSwitched fails an attempt whose other side left HTTP: what follows cannot
+// be told to be whole.
+var errSwitched = errors.New("the other side switched protocols")
+
+// request returns the request of an attempt and its body if that is streamed.
+func (c *call) request(ctx context.Context, a *attempt) (*http.Request, *attemptBody) {
 	body, stream := c.upload.attempt()
 	request := &http.Request{
 		Method:        c.r.Method,
@@ -131,7 +159,7 @@
 		// the next node would take for an upload of unknown length.
 		request.TransferEncoding = []string{"identity"}
 	}
-	return request.WithContext(ctx)
+	return request.WithContext(ctx), stream
 }
 
 func announcedTrailers(trailers http.Header) http.Header {
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,26 +75,56 @@
 // attemptBody is the view that one attempt has of a streamed upload.
 type attemptBody struct {
 	upload  *upload
-	over    atomic.Bool
 	trailer http.Header // of the attempt's request; filled at the end
+
+	mu   sync.Mutex
+	over bool // the attempt has ended
+	done bool // the whole upload has been read
+}
+
+// start reports whether the attempt may read from the caller.
+func (b *attemptBody) start() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.over {
+		b.upload.consumed.Store(true)
+	}
+	return !b.over
 }
 
 // Read implements io.Reader.
 func (b *attemptBody) Read(p []byte) (int, error) {
-	if b.over.Load() {
+	if !b.start() {
 		return 0, errAttemptOver
 	}
-	b.upload.consumed.Store(true)
 	n, err := b.upload.request.Body.Read(p)
 	switch {
 	case err == io.EOF:
 		b.copyTrailers()
+		b.mu.Lock()
+		b.done = true
+		b.mu.Unlock()
 	case err != nil:
 		b.upload.failed.Store(true)
 	}
 	return n, err
 }
 
+// abandon ends the attempt's use of the upload, and a read that waits for a
+// caller that has stalled: http.Transport returns from a broken connection only
+// after that read, and the server sends no refusal before it. The connection to
+// the caller is closed after the answer, since the rest of the upload is on it.
+func (b *attemptBody) abandon(w http.ResponseWriter) {
+	b.mu.Lock()
+	b.over = true
+	blocked := b.upload.consumed.Load() && !b.done
+	b.mu.Unlock()
+	if blocked {
+		// The error means that the connection is gone, and the read with it.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
+}
+
 func (b *attemptBody) copyTrailers() {
 	for name := range b.trailer {
 		b.trailer[name] = b.upload.request.Trailer[name]
@@ -102,6 +133,8 @@
 
 // Close implements io.Closer. The caller's body stays open for a later attempt.
 func (b *attemptBody) Close() error {
-	b.over.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.over = true
 	return nil
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,18 +22,22 @@
 	id        mesh.CallID
 	w         http.ResponseWriter
 	r         *http.Request
-	target    url.URL // path and query as the upstream will see them
-	header    http.Header
+	target    url.URL     // path and query as the upstream will see them
+	header    http.Header // what the upstream may see
+	tried     bool        // header has been given to an attempt
 	workspace mesh.Workspace
 	upload    upload
 
 	held       *http.Response // answer whose header was reported by Answered
 	heldCancel context.CancelFunc
+	heldUntil  time.Time    // deadline of the attempt
+	stream     *attemptBody // of the last attempt, if the upload is streamed
 
 	mu     sync.Mutex
 	inbox  []engine.Effect
 	ready  chan struct{}
 	cancel context.CancelFunc // set while an attempt or relay is in progress
+	first  [1]engine.Effect   // backs inbox, which seldom holds more than one
 }
 
 // ending tells the handler how to leave.
@@ -54,7 +59,13 @@
 		header: forwardable(r.Header),
 		ready:  make(chan struct{}, 1),
 	}
+	c.inbox = c.first[:0]
 	c.upload.init(r)
+	if c.upload.streamed() {
+		// Otherwise the server reads the rest of an upload before it sends the
+		// first byte of the answer. A recorder in a test knows no such mode.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	return c
 }
 
@@ -106,7 +117,7 @@
 		c.mu.Lock()
 		if len(c.inbox) > 0 {
 			e := c.inbox[0]
-			c.inbox = c.inbox[1:]
+			c.inbox = slices.Delete(c.inbox, 0, 1)
 			c.mu.Unlock()
 			return e, true
 		}
@@ -194,9 +205,12 @@
 	discardTimeout = time.Second
 )
 
-// discard drops the held answer. A short one is read to its end first; with a
-// longer one the connection is closed.
+// discard drops the held answer and what is left of the upload. A short answer
+// is read to its end first; with a longer one the connection is closed.
 func (c *call) discard() {
+	if c.stream != nil {
+		c.stream.abandon(c.w)
+	}
 	if c.held == nil {
 		return
 	}
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -13,6 +13,7 @@
 
 	"cardamomhatch/internal/devtls"
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/peer"
 )
@@ -54,28 +55,38 @@
 
 // Guards against a late answer that is given to the next call.
 func TestLateAnswerReachesNoOtherCall(t *testing.T) {
-	release, sent := make(chan struct{}), make(chan struct{})
+	running, release, sent := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/late" {
+			close(running)
 			<-release
 			defer close(sent)
 		}
 		io.WriteString(w, r.URL.Path)
 	}))
+	// The serving node gives up on the first call once it runs.
+	var late mesh.CallID
 	p.serving.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
-		arrived, ok := ev.(*engine.HopArrived)
-		if !ok || p.serving.machine.hops[0] {
+		if e, ok := ev.(*engine.HopArrived); ok && late == 0 {
+			late = e.Call
+		}
+		if _, ok := ev.(*engine.Tick); !ok || running == nil {
 			return out, false
 		}
-		p.serving.machine.hops[0] = true // the first hop only
-		return append(out, engine.Effect{Kind: engine.Run, Call: arrived.Call, Attempt: 1, Remaining: time.Millisecond}), true
+		select {
+		case <-running:
+			running = nil
+			refusal := outcome.Refusal{Execution: outcome.MayHaveRun, Reason: outcome.DeadlineExceeded}
+			return append(out, engine.Effect{Kind: engine.Refuse, Call: late, Refusal: refusal}), true
+		default:
+			return out, true
+		}
 	}
 	resp, _, err := do(client(t, nil), request(t, "GET", p.entry.callers+"/late", ""))
 	if err != nil {
 		t.Fatal(err)
 	}
-	refusal, ok := outcome.Parse(resp.Header)
-	if !ok || refusal.Reason != outcome.DeadlineExceeded {
+	if refusal, _ := outcome.Parse(resp.Header); refusal.Reason != outcome.DeadlineExceeded {
 		t.Fatalf("got %s %+v, want deadline-exceeded", resp.Status, refusal)
 	}
 	close(release)
@@ -167,7 +178,8 @@
 			r := request(t, method, url+"/x", "")
 			r.Header.Set("Idempotency-Key", "k")
 			c := n.newCall(nil, r, *r.URL)
-			resp, err := transport.RoundTrip(c.request(t.Context(), &attempt{url: c.target, header: c.header}))
+			request, _ := c.request(t.Context(), &attempt{url: c.target, header: c.header})
+			resp, err := transport.RoundTrip(request)
 			if err == nil {
 				resp.Body.Close()
 			}
@@ -387,3 +399,84 @@
 		t.Fatalf("stored answer: %+v", ended)
 	}
 }
+
+// Guards against a handler that waits for the rest of a stalled upload before
+// it sends its refusal.
+func TestStalledUploadIsRefused(t *testing.T) {
+	p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+	}))
+	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+		e, ok := ev.(*engine.CallArrived)
+		if !ok {
+			return out, false
+		}
+		hop := engine.Hop{Workspace: "w1", Remaining: 10 * time.Millisecond}
+		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: p.serving.member, Hop: hop}), true
+	}
+	conn := must(net.Dial("tcp", strings.TrimPrefix(p.entry.callers, "http://")))
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testDeadline))
+	io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 1000))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if refusal, _ := outcome.Parse(resp.Header); refusal.Execution != outcome.MayHaveRun {
+		t.Fatalf("got %s %+v", resp.Status, refusal)
+	}
+}
+
+// Guards against a caller that stops reading and so holds its call, and the
+// slot behind it, beyond the deadline.
+func TestCallerThatDoesNotReadIsCut(t *testing.T) {
+	p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, copySize)); err != nil {
+				return
+			}
+		}
+	}))
+	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+		e, ok := ev.(*engine.CallArrived)
+		if !ok {
+			return out, false
+		}
+		hop := engine.Hop{Workspace: "w1", Remaining: 100 * time.Millisecond}
+		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: p.serving.member, Hop: hop}), true
+	}
+	conn := must(net.Dial("tcp", strings.TrimPrefix(p.entry.callers, "http://")))
+	defer conn.Close()
+	io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, n := range []*testNode{p.entry, p.serving} {
+		if await[*engine.RelayEnded](t, n.machine).Whole {
+			t.Fatalf("%s reported an endless answer as whole", n.member.Node.Host)
+		}
+	}
+}
+
+// Guards against a planned stop that loses a request on its way on an idle
+// connection, and that does not ask the caller to leave.
+func TestStopServesIdleConnections(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "whole") })
+	p := startPair(t, nil, handler)
+	entry := startNode(t, "entry", nil, func(c *Config) { c.LameDuck = time.Hour })
+	entry.machine.member = p.serving.member
+	c := client(t, nil)
+	if _, _, err := do(c, request(t, "POST", entry.callers+"/x", "")); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- entry.Stop(ctx) }()
+	await[*engine.StopRequested](t, entry.machine)
+	resp, body, err := do(c, request(t, "POST", entry.callers+"/x", ""))
+	if err != nil || body != "whole" || !resp.Close {
+		t.Fatalf("request on the idle connection: %q, %v", body, err)
+	}
+	cancel()
+	if err := <-stopped; err != context.Canceled {
+		t.Fatal(err)
+	}
+}
--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -28,13 +28,13 @@
 	hops   map[mesh.CallID]bool
 	mu     sync.Mutex
 	events []engine.Event
-	seen   chan engine.Event // every event but Tick; buffered
+	seen   chan engine.Event // every event but Tick; buffered; nil records nothing
 }
 
 const testDeadline = 20 * time.Second
 
 func (m *fakeMachine) Step(_ time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect {
-	if _, tick := ev.(*engine.Tick); !tick {
+	if _, tick := ev.(*engine.Tick); !tick && m.seen != nil {
 		m.mu.Lock()
 		m.events = append(m.events, ev)
 		m.mu.Unlock()
@@ -48,40 +48,41 @@
 			return effects
 		}
 	}
-	return append(out, m.decide(ev)...)
+	return m.decide(ev, out)
 }
 
-func (m *fakeMachine) decide(ev engine.Event) []engine.Effect {
+func (m *fakeMachine) decide(ev engine.Event, out []engine.Effect) []engine.Effect {
 	hop := engine.Hop{Workspace: "w1", Remaining: testDeadline}
-	load := &engine.Load{InFlight: 1, Cut: mesh.OpenCut}
 	switch e := ev.(type) {
 	case *engine.CallArrived:
-		return []engine.Effect{{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop}}
+		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop})
 	case *engine.ChildArrived:
-		return []engine.Effect{{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop}}
+		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: m.member, Hop: hop})
+	case *engine.RelayEnded:
+		delete(m.hops, e.Call)
 	case *engine.HopArrived:
 		m.hops[e.Call] = true
-		return []engine.Effect{{Kind: engine.Run, Call: e.Call, Attempt: 1, Remaining: e.Hop.Remaining}}
+		return append(out, engine.Effect{Kind: engine.Run, Call: e.Call, Attempt: 1, Remaining: e.Hop.Remaining})
 	case *engine.Answered:
 		if e.Refusal != nil {
-			return []engine.Effect{{Kind: engine.Refuse, Call: e.Call, Refusal: *e.Refusal}}
+			return append(out, engine.Effect{Kind: engine.Refuse, Call: e.Call, Refusal: *e.Refusal})
 		}
 		effect := engine.Effect{Kind: engine.Relay, Call: e.Call, Attempt: e.Attempt}
 		if m.hops[e.Call] {
-			effect.Load = load
+			effect.Load = &engine.Load{InFlight: 1, Cut: mesh.OpenCut}
 		}
-		return []engine.Effect{effect}
+		return append(out, effect)
 	case *engine.AttemptFailed:
 		refusal := outcome.Refusal{Execution: e.Execution, Reason: e.Reason, Node: string(m.self.Host)}
-		return []engine.Effect{{Kind: engine.Refuse, Call: e.Call, Refusal: refusal}}
+		return append(out, engine.Effect{Kind: engine.Refuse, Call: e.Call, Refusal: refusal})
 	case *engine.CallGone:
-		return []engine.Effect{{Kind: engine.Cancel, Call: e.Call}}
+		return append(out, engine.Effect{Kind: engine.Cancel, Call: e.Call})
 	case *engine.TicketRequested:
-		return []engine.Effect{{Kind: engine.IssueTicket, Call: e.Call, Ticket: "ticket-1"}}
+		return append(out, engine.Effect{Kind: engine.IssueTicket, Call: e.Call, Ticket: "ticket-1"})
 	case *engine.StopRequested:
-		return []engine.Effect{{Kind: engine.Stopped}}
+		return append(out, engine.Effect{Kind: engine.Stopped})
 	}
-	return nil
+	return out
 }
 
 // await returns the next event of the type that has been or will be seen.
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -31,18 +31,23 @@
 // forwardable returns a copy of h without hop-by-hop headers, headers named by
 // Connection, and internal headers.
 func forwardable(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
+	const added = 5 // headers that a node adds to an attempt
+	out := make(http.Header, len(h)+added)
+	copyForwardable(out, h)
+	return out
+}
+
+func copyForwardable(out, h http.Header) {
 	for name, values := range h {
 		if !hopByHop[name] && !internal(name) {
 			out[name] = values
 		}
 	}
 	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
+		for name := range strings.SplitSeq(line, ",") {
 			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	return out
 }
 
 func internal(name string) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,9 @@
 	if !cfg.Plain && (cfg.TLS.Callers == nil || cfg.TLS.Peer == nil) {
 		return nil, errors.New("TLS for callers and peers is required unless plain connections are allowed")
 	}
+	if err := checkPlain(cfg); err != nil {
+		return nil, err
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -153,6 +156,29 @@
 	return n, nil
 }
 
+// checkPlain reports a listener without TLS that is reachable from other hosts.
+func checkPlain(cfg Config) error {
+	plain := []net.Listener{cfg.Listeners.Local}
+	if cfg.TLS.Callers == nil {
+		plain = append(plain, cfg.Listeners.Callers)
+	}
+	if cfg.TLS.Peer == nil {
+		plain = append(plain, cfg.Listeners.Peers)
+	}
+	if cfg.TLS.Operators == nil {
+		plain = append(plain, cfg.Listeners.Operators)
+	}
+	for _, l := range plain {
+		if l == nil {
+			continue
+		}
+		if address, ok := l.Addr().(*net.TCPAddr); !ok || !address.IP.IsLoopback() {
+			return errors.Errorf("listener %s has no TLS and is not on loopback", l.Addr())
+		}
+	}
+	return nil
+}
+
 // Step feeds one event to the machine and executes the effects. It is safe for
 // concurrent use. Effects are executed in the order in which the machine
 // produced them, by one goroutine at a time and outside the mutex; a call to
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -59,3 +60,45 @@
 		}
 	}
 }
+
+// Guards against trailers of an answer that are lost, and internal ones that
+// are passed on.
+func TestAnswerTrailers(t *testing.T) {
+	p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Trailer", "X-Sum, "+engine.LoadHeader)
+		io.WriteString(w, "body")
+		w.Header().Set("X-Sum", "1")
+		w.Header().Set(engine.LoadHeader, "forged")
+	}))
+	resp, _, err := do(client(t, nil), request(t, "GET", p.entry.callers+"/x", ""))
+	if err != nil || len(resp.Trailer) != 1 || resp.Trailer.Get("X-Sum") != "1" {
+		t.Fatalf("trailers %v, %v", resp.Trailer, err)
+	}
+}
+
+// Guards against listeners without TLS by mistake or beyond loopback.
+func TestPlainOnlyOnLoopbackByFlag(t *testing.T) {
+	open := must(net.Listen("tcp", "0.0.0.0:0"))
+	defer open.Close()
+	for _, cfg := range []Config{
+		{Machine: &fakeMachine{}, Listeners: Listeners{Callers: open}},
+		{Machine: &fakeMachine{}, Listeners: Listeners{Callers: open}, Plain: true},
+		{Machine: &fakeMachine{}, Listeners: Listeners{Peers: open}, Plain: true},
+	} {
+		if _, err := New(cfg); err == nil {
+			t.Errorf("accepted plain %v", cfg.Plain)
+		}
+	}
+}
+
+// Guards against tickets that do not reach the caller.
+func TestTicketIsIssued(t *testing.T) {
+	n := startNode(t, "entry", nil, nil)
+	resp, body, err := do(client(t, nil), request(t, "POST", n.callers+ticketPath, ""))
+	if err != nil || resp.Header.Get(engine.TicketHeader) != "ticket-1" || strings.TrimSpace(body) != `{"ticket":"ticket-1"}` {
+		t.Fatal(resp, body, err)
+	}
+	if e := await[*engine.TicketRequested](t, n.machine); string(e.Secret) != testKey {
+		t.Fatalf("secret %q", e.Secret)
+	}
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"cardamomhatch/internal/engine"
 )
@@ -49,6 +50,9 @@
 	}
 	c.begin(c.heldCancel)
 	defer c.end()
+	if resp.ContentLength < 0 || resp.ContentLength > replayLimit {
+		defer c.limitWrites()()
+	}
 	c.copyAnswerHeader(resp)
 	c.addReports(e)
 	c.w.WriteHeader(resp.StatusCode)
@@ -61,6 +65,7 @@
 	c.heldCancel()
 	resp.Body.Close()
 	c.held, c.heldCancel = nil, nil
+	c.discard() // of an upload that the answer did not wait for
 	whole := t.readErr == nil && t.lost == nil
 	ended := &engine.RelayEnded{Call: c.id, Attempt: e.Attempt, Whole: whole, Bytes: t.bytes}
 	if t.store && t.readErr == nil {
@@ -75,6 +80,17 @@
 	return finished
 }
 
+// limitWrites ends writes at the deadline of the attempt: a caller that reads
+// too slowly must not hold the slot of its call. Short answers fit the buffers
+// of the connection and need no limit.
+func (c *call) limitWrites() (reset func()) {
+	control := http.NewResponseController(c.w)
+	if control.SetWriteDeadline(c.heldUntil) != nil {
+		return func() {}
+	}
+	return func() { _ = control.SetWriteDeadline(time.Time{}) } // for the next call
+}
+
 func (t *transfer) copy(w http.ResponseWriter, resp *http.Response) {
 	buffer := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buffer)
@@ -133,9 +149,7 @@
 
 func (c *call) copyAnswerHeader(resp *http.Response) {
 	out := c.w.Header()
-	for name, values := range forwardable(resp.Header) {
-		out[name] = values
-	}
+	copyForwardable(out, resp.Header)
 	for name := range resp.Trailer {
 		if !internal(name) {
 			out.Add("Trailer", name)
@@ -177,9 +191,7 @@
 
 func (c *call) replay(e *engine.Effect) ending {
 	h := c.w.Header()
-	for name, values := range forwardable(e.Answer.Header) {
-		h[name] = values
-	}
+	copyForwardable(h, e.Answer.Header)
 	c.addReports(e)
 	if c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(e.Answer.Body)))
