--- a/internal/engine/capacity_test.go
+++ b/internal/engine/capacity_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/gob"
 	"fmt"
 	"maps"
 	"runtime"
@@ -226,3 +227,68 @@
 		b.Fatal("the node has not folded the changes")
 	}
 }
+
+// traffic counts control messages and their encoded size. One encoder per pair
+// of nodes sends type descriptions once, as a connection does.
+type traffic struct {
+	messages, bytes map[string]int
+	encoders        map[[2]mesh.NodeID]*gob.Encoder
+	written         int
+}
+
+func (t *traffic) Write(p []byte) (int, error) {
+	t.written += len(p)
+	return len(p), nil
+}
+
+func (t *traffic) count(e mesh.Envelope) {
+	pair := [2]mesh.NodeID{e.From, e.To}
+	if t.encoders[pair] == nil {
+		t.encoders[pair] = gob.NewEncoder(t)
+	}
+	before := t.written
+	if err := t.encoders[pair].Encode([]mesh.Envelope{e}); err != nil {
+		panic(err)
+	}
+	t.messages[e.Message.MessageName()]++
+	t.bytes[e.Message.MessageName()] += t.written - before
+}
+
+// BenchmarkControlTraffic reports control messages and bytes that a node sends
+// in a second, at rest and under load.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, nodes := range []int{15, 60, 120} {
+		for _, calls := range []int{0, 20} {
+			b.Run(fmt.Sprintf("nodes=%d/calls=%d", nodes, calls), func(b *testing.B) {
+				services := make([]mesh.Service, nodes)
+				for i := range services {
+					services[i] = "shop"
+				}
+				c := newCluster(b, 1, benchMesh, services...)
+				c.run(10 * time.Second)
+				const seconds = 5
+				t := &traffic{messages: map[string]int{}, bytes: map[string]int{}, encoders: map[[2]mesh.NodeID]*gob.Encoder{}}
+				for b.Loop() {
+					c.run(2 * time.Second) // type descriptions of new connections
+					t.messages, t.bytes = map[string]int{}, map[string]int{}
+					c.sent = t.count
+					for range seconds * calls {
+						for _, n := range c.order {
+							c.call(n, "anna", "GET", "/items/1", "")
+						}
+						c.run(time.Second / time.Duration(calls))
+					}
+					if calls == 0 {
+						c.run(seconds * time.Second)
+					}
+				}
+				total := 0
+				for name, n := range t.bytes {
+					total += n
+					b.ReportMetric(float64(n)/float64(seconds*nodes), "B/s/"+name)
+				}
+				b.ReportMetric(float64(total)/float64(seconds*nodes), "B/s")
+			})
+		}
+	}
+}
--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -37,6 +37,7 @@
 	runs     map[mesh.ActionID]int
 	nextCall mesh.CallID
 	fail     func(n *testNode, e Effect) int // status of a run; 0 means 200
+	sent     func(mesh.Envelope)             // observes control messages
 }
 
 type callName struct {
@@ -269,6 +270,9 @@
 }
 
 func (c *cluster) send(n *testNode, e Effect) {
+	if c.sent != nil {
+		c.sent(e.Envelope)
+	}
 	to := c.nodes[e.Member.Node]
 	if to == nil || c.cut(n.member.Node.Host, e.Member.Node.Host) {
 		c.at(networkDelay, func() { c.step(n, &PeerUnreachable{Node: e.Member.Node}) })
