--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -132,7 +132,9 @@
 	upstream := httptest.NewServer(handler)
 	b.Cleanup(upstream.Close)
 	nodes := startPair(b, ca, handler)
-	nodes.entry.machine.seen, nodes.serving.machine.seen = nil, nil
+	for _, n := range []*testNode{nodes.entry, nodes.serving} {
+		n.Do(func() { n.machine.seen = nil })
+	}
 	var peerTLS, entryTLS *tls.Config
 	if ca != nil {
 		peerTLS = peerServerTLS(must(ca.Peer("serving")))
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -23,6 +23,7 @@
 	read     bool        // buffered holds the body
 	consumed atomic.Bool // bytes of a streamed body have been taken
 	failed   atomic.Bool // the caller's side of the upload broke
+	dropped  atomic.Bool // the node has stopped reading the upload
 }
 
 func (u *upload) init(r *http.Request) {
@@ -120,6 +121,7 @@
 	blocked := b.upload.consumed.Load() && !b.done
 	b.mu.Unlock()
 	if blocked {
+		b.upload.dropped.Store(true)
 		// The error means that the connection is gone, and the read with it.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -78,7 +78,7 @@
 	}
 	c.node.add(c)
 	defer c.node.remove(c)
-	stop := context.AfterFunc(c.r.Context(), func() { c.node.Step(&engine.CallGone{Call: c.id}) })
+	stop := context.AfterFunc(c.r.Context(), c.gone)
 	defer stop()
 	defer c.discard()
 	c.node.Step(arrival)
@@ -96,6 +96,15 @@
 	}
 }
 
+// gone reports that the caller's connection has ended, unless the node ended
+// its reading side to drop the rest of an upload: that caller still gets an
+// answer.
+func (c *call) gone() {
+	if !c.upload.dropped.Load() {
+		c.node.Step(&engine.CallGone{Call: c.id})
+	}
+}
+
 // post queues an effect. Any effect but Relay supersedes an attempt or relay
 // that is in progress, which is cancelled at once.
 func (c *call) post(e *engine.Effect) {
@@ -111,6 +120,15 @@
 	}
 }
 
+// interrupt cancels an attempt or relay that is in progress.
+func (c *call) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 // next waits for an effect. The result is false if the node has been closed.
 func (c *call) next() (engine.Effect, bool) {
 	for {
@@ -167,22 +185,11 @@
 		return c.issueTicket(e.Ticket)
 	case engine.Cancel:
 		c.discard()
-		return c.afterCancel()
+		return aborted
 	}
 	return proceed
 }
 
-// afterCancel ends the call unless the machine has already decided on an
-// answer to a caller that is still there.
-func (c *call) afterCancel() ending {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.inbox) > 0 {
-		return proceed
-	}
-	return aborted
-}
-
 func written(err error) ending {
 	if err != nil {
 		return aborted
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -66,7 +66,7 @@
 	}))
 	// The serving node gives up on the first call once it runs.
 	var late mesh.CallID
-	p.serving.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	p.serving.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		if e, ok := ev.(*engine.HopArrived); ok && late == 0 {
 			late = e.Call
 		}
@@ -81,7 +81,7 @@
 		default:
 			return out, true
 		}
-	}
+	})
 	resp, _, err := do(client(t, nil), request(t, "GET", p.entry.callers+"/late", ""))
 	if err != nil {
 		t.Fatal(err)
@@ -212,7 +212,7 @@
 			t.Errorf("got %+v, want %s by the serving node", refusal, want)
 		}
 	}
-	p.entry.machine.member.PeerAddress = closed.Addr().String()
+	p.entry.route(mesh.Member{Node: p.serving.member.Node, PeerAddress: closed.Addr().String()})
 	resp, _, err := do(client(t, nil), request(t, "POST", p.entry.callers+"/x", "body"))
 	if err != nil {
 		t.Fatal(err)
@@ -325,7 +325,7 @@
 	if err := forged("entry/7", &http.Transport{TLSClientConfig: stranger}); err == nil {
 		t.Error("a certificate of another CA was accepted")
 	}
-	p.entry.machine.member.Node.Host = "elsewhere"
+	p.entry.route(mesh.Member{Node: mesh.NodeID{Host: "elsewhere"}, PeerAddress: p.serving.member.PeerAddress})
 	resp, _, err := do(client(t, ca), request(t, "GET", p.entry.callers+"/x", ""))
 	if err != nil {
 		t.Fatal(err)
@@ -345,15 +345,15 @@
 		}
 	}))
 	attempts := 0
-	p.serving.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	p.serving.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		arrived, ok := ev.(*engine.HopArrived)
 		if attempts++; !ok || attempts > 1 {
 			return out, false
 		}
 		refusal := outcome.Refusal{Execution: outcome.NotRun, Reason: outcome.Overloaded, Node: "serving"}
 		return append(out, engine.Effect{Kind: engine.Refuse, Call: arrived.Call, Refusal: refusal}), true
-	}
-	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	})
+	p.entry.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		answered, ok := ev.(*engine.Answered)
 		if !ok || answered.Refusal == nil {
 			return out, false
@@ -363,7 +363,7 @@
 		}
 		hop := engine.Hop{Workspace: "w1", Remaining: testDeadline}
 		return append(out, engine.Effect{Kind: engine.Forward, Call: answered.Call, Attempt: 2, Member: p.serving.member, Hop: hop}), true
-	}
+	})
 	resp, _, err := do(client(t, nil), request(t, "POST", p.entry.callers+"/x", strings.Repeat("x", 2*replayLimit)))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		t.Fatal(resp, err)
@@ -381,7 +381,7 @@
 		<-gone
 		io.WriteString(w, strings.Repeat("x", size))
 	}))
-	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	p.entry.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		switch e := ev.(type) {
 		case *engine.CallGone:
 			close(gone)
@@ -390,7 +390,7 @@
 			return append(out, engine.Effect{Kind: engine.Relay, Call: e.Call, Store: true, Ticket: "t"}), true
 		}
 		return out, false
-	}
+	})
 	if _, _, err := do(client(t, nil), request(t, "POST", p.entry.callers+"/x", "").WithContext(ctx)); err == nil {
 		t.Fatal("the cancelled call was answered")
 	}
@@ -406,14 +406,14 @@
 	p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 	}))
-	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	p.entry.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		e, ok := ev.(*engine.CallArrived)
 		if !ok {
 			return out, false
 		}
 		hop := engine.Hop{Workspace: "w1", Remaining: 10 * time.Millisecond}
 		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: p.serving.member, Hop: hop}), true
-	}
+	})
 	conn := must(net.Dial("tcp", strings.TrimPrefix(p.entry.callers, "http://")))
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(testDeadline))
@@ -438,14 +438,14 @@
 			}
 		}
 	}))
-	p.entry.machine.hook = func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+	p.entry.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
 		e, ok := ev.(*engine.CallArrived)
 		if !ok {
 			return out, false
 		}
 		hop := engine.Hop{Workspace: "w1", Remaining: 100 * time.Millisecond}
 		return append(out, engine.Effect{Kind: engine.Forward, Call: e.Call, Attempt: 1, Member: p.serving.member, Hop: hop}), true
-	}
+	})
 	conn := must(net.Dial("tcp", strings.TrimPrefix(p.entry.callers, "http://")))
 	defer conn.Close()
 	io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -462,7 +462,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "whole") })
 	p := startPair(t, nil, handler)
 	entry := startNode(t, "entry", nil, func(c *Config) { c.LameDuck = time.Hour })
-	entry.machine.member = p.serving.member
+	entry.route(p.serving.member)
 	c := client(t, nil)
 	if _, _, err := do(c, request(t, "POST", entry.callers+"/x", "")); err != nil {
 		t.Fatal(err)
--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// script puts f before the machine's own decisions.
+func (n *testNode) script(f func(engine.Event, []engine.Effect) ([]engine.Effect, bool)) {
+	n.Do(func() { n.machine.hook = f })
+}
+
+// route makes the machine forward calls to the member.
+func (n *testNode) route(m mesh.Member) {
+	n.Do(func() { n.machine.member = m })
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
@@ -174,8 +184,8 @@
 	server := httptest.NewServer(upstream)
 	t.Cleanup(server.Close)
 	p := pair{entry: startNode(t, "entry", ca, nil), serving: startNode(t, "serving", ca, nil)}
-	p.entry.machine.member = p.serving.member
-	p.serving.machine.member = p.serving.member
+	p.entry.route(p.serving.member)
+	p.serving.route(p.serving.member)
 	p.serving.announce(t, server.URL)
 	return p
 }
--- a/internal/node/hygiene_test.go
+++ b/internal/node/hygiene_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 )
 
@@ -123,7 +124,7 @@
 func TestLogHasNoKey(t *testing.T) {
 	lines := &logBuffer{}
 	n := startNode(t, "entry", nil, func(c *Config) { c.Logger = lines })
-	n.machine.member.PeerAddress = "127.0.0.1:1"
+	n.route(mesh.Member{PeerAddress: "127.0.0.1:1"})
 	for _, query := range []string{"?key=" + testKey, "?%zz&key=" + testKey} {
 		if _, _, err := do(client(t, nil), request(t, "GET", n.callers+"/x"+query, "")); err != nil {
 			t.Fatal(err)
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
@@ -261,6 +263,9 @@
 		return nil
 	}
 	err := s.http.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // stop has closed the listener already
+	}
 	if err != nil {
 		s.http.Close()
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/logservice"
 	"cardamomhatch/internal/peer"
 )
 
@@ -24,7 +25,8 @@
 	appendQueue     = 256
 )
 
-var errAppendQueueFull = errors.New("append was not sent: too many appends are waiting")
+// errAppendQueueFull means that the record did not leave this node.
+var errAppendQueueFull = errors.Wrap(logservice.ErrUnavailable, "too many appends are waiting")
 
 // nodeMetrics are the counters of the shell.
 type nodeMetrics struct {
@@ -117,7 +119,7 @@
 			continue
 		}
 		n.Step(&engine.LogFailed{Err: err})
-		if first, truncated := n.truncatedAt(err); truncated {
+		if first, truncated := n.cfg.Truncated(err); truncated {
 			n.readSnapshot()
 			next = max(next, first)
 		}
@@ -127,11 +129,12 @@
 	}
 }
 
-func (n *Node) truncatedAt(err error) (uint64, bool) {
-	if err == nil || n.cfg.Truncated == nil {
+func truncatedAt(err error) (first uint64, truncated bool) {
+	var t *logservice.ErrTruncated
+	if !errors.As(err, &t) {
 		return 0, false
 	}
-	return n.cfg.Truncated(err)
+	return t.First, true
 }
 
 func (n *Node) nextOffset(read uint64) uint64 {
@@ -150,7 +153,7 @@
 	ctx, cancel := n.untilClosed(readTimeout)
 	defer cancel()
 	page, err := n.cfg.Log.Read(ctx, snapshotsStream, 0, 1, 0)
-	if first, truncated := n.truncatedAt(err); truncated {
+	if first, truncated := n.cfg.Truncated(err); truncated {
 		page, err = n.cfg.Log.Read(ctx, snapshotsStream, first, 1, 0)
 	}
 	if err == nil && page.Head > 0 {
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +21,7 @@
 	delay       time.Duration
 }
 
-var (
-	errDown      = errors.New("log is down")
-	errTruncated = errors.New("truncated")
-)
+var errDown = errors.New("log is down")
 
 func (l *scriptedLog) Append(_ context.Context, stream string, data []byte) (uint64, error) {
 	l.appended = append(l.appended, stream+" "+string(data))
@@ -44,7 +42,7 @@
 		return logservice.Page{}, errDown
 	}
 	if from < l.first {
-		return logservice.Page{}, errTruncated
+		return logservice.Page{}, fmt.Errorf("read: %w", &logservice.ErrTruncated{First: l.first})
 	}
 	if from == l.head {
 		select {
@@ -59,9 +57,7 @@
 // loopNode starts a node without listeners, so that it can run in virtual time.
 func loopNode(log logservice.Client) (*Node, *fakeMachine) {
 	m := &fakeMachine{seen: make(chan engine.Event, 1<<12)}
-	n := must(New(Config{Machine: m, Plain: true, Log: log, Truncated: func(err error) (uint64, bool) {
-		return 5, err == errTruncated
-	}}))
+	n := must(New(Config{Machine: m, Plain: true, Log: log}))
 	n.Start()
 	return n, m
 }
@@ -166,3 +162,34 @@
 		t.Fatalf("effects were executed as %v", order)
 	}
 }
+
+// Guards against a call that is aborted although the machine has decided on its
+// answer in the step that cancelled the attempt.
+func TestCancelWithAnswerKeepsTheAnswer(t *testing.T) {
+	n := must(New(Config{Machine: &fakeMachine{}, Plain: true}))
+	c := &call{node: n, id: 1, ready: make(chan struct{}, 1)}
+	n.add(c)
+	cancelled := 0
+	c.begin(func() { cancelled++ })
+	batch := []engine.Effect{{Kind: engine.Cancel, Call: 1}, {Kind: engine.Refuse, Call: 1}, {Kind: engine.Cancel, Call: 1}}
+	n.execute(&batch[0], batch[1:2])
+	if cancelled != 1 || len(c.inbox) != 0 {
+		t.Fatalf("followed Cancel: cancelled %d times, %d effects queued", cancelled, len(c.inbox))
+	}
+	n.execute(&batch[1], nil)
+	n.execute(&batch[2], nil)
+	if len(c.inbox) != 2 || c.inbox[0].Kind != engine.Refuse || c.inbox[1].Kind != engine.Cancel {
+		t.Fatalf("queued %v", c.inbox)
+	}
+}
+
+// Guards against an engine that no longer fits the shell.
+func TestEngineIsAMachine(t *testing.T) {
+	var _ Machine = (*engine.Node)(nil)
+	var _ Offsets = (*engine.Node)(nil)
+	n := must(New(Config{Machine: engine.New(engine.Config{}), Plain: true}))
+	n.Step(&engine.Tick{})
+	if n.nextOffset(7) != 0 {
+		t.Fatal("the engine's own offset was not used")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,8 +22,10 @@
 )
 
 // Machine decides what a node does. Step appends the effects of one event to
-// out. The shell calls it under one mutex. A Machine may also implement
-// Offsets.
+// out. The shell calls it under one mutex. Every call that arrived must get one
+// of Refuse, Relay, Replay, IssueTicket and Cancel as its last effect, also when
+// its caller has gone: until then its handler waits. A Machine may also
+// implement Offsets.
 type Machine interface {
 	Step(now time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect
 }
@@ -66,7 +68,8 @@
 	Operators http.Handler      // served on Listeners.Operators
 	Log       logservice.Client // nil: no log reader and no appends
 	// Truncated recognizes the error of Log.Read which says that records have
-	// been dropped, and returns the first offset that is left. Nil: none does.
+	// been dropped, and returns the first offset that is left. Nil stands for
+	// *logservice.ErrTruncated.
 	Truncated func(error) (first uint64, ok bool)
 	// Decided receives the outcome of a Proposed or KeyWithdrawn event.
 	// It must not block. Nil discards the outcomes.
@@ -123,6 +126,9 @@
 	if err := checkPlain(cfg); err != nil {
 		return nil, err
 	}
+	if cfg.Truncated == nil {
+		cfg.Truncated = truncatedAt
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -196,7 +202,7 @@
 		n.pending = n.spare[:0]
 		n.mu.Unlock()
 		for i := range batch {
-			n.execute(&batch[i])
+			n.execute(&batch[i], batch[i+1:])
 		}
 		clear(batch)
 		n.mu.Lock()
@@ -213,8 +219,17 @@
 	f()
 }
 
-func (n *Node) execute(e *engine.Effect) {
+// execute performs one effect. A Cancel that the same batch follows up with an
+// answer must not end the call before that answer is queued, so it only
+// interrupts the attempt.
+func (n *Node) execute(e *engine.Effect, following []engine.Effect) {
 	switch e.Kind {
+	case engine.Cancel:
+		if c := n.call(e.Call); c != nil && concerns(following, e.Call) {
+			c.interrupt()
+		} else if c != nil {
+			c.post(e)
+		}
 	case engine.Send:
 		n.peers.Send(e.Member, e.Envelope)
 	case engine.Append:
@@ -234,6 +249,16 @@
 	}
 }
 
+// concerns reports whether one of the effects is for the call.
+func concerns(effects []engine.Effect, id mesh.CallID) bool {
+	for i := range effects {
+		if effects[i].Call == id && effects[i].Kind < engine.Send {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) call(id mesh.CallID) *call {
 	n.callsMu.Lock()
 	defer n.callsMu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -252,8 +252,8 @@
 }
 
 func (u *Upstream) leave() {
-	<-u.slots
 	u.occupy(-1, 0)
+	<-u.slots // last, or the next call is counted before this one has left
 }
 
 // occupy changes the number of running and waiting calls and remembers the
