--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -23,6 +23,7 @@
 	readTimeout     = readWait + 4*time.Second // a slow log still answers
 	appendTimeout   = 5 * time.Second
 	appendQueue     = 256
+	logBackoffMax   = 2 * time.Second
 )
 
 // errAppendQueueFull means that the record did not leave this node.
@@ -92,7 +93,7 @@
 }
 
 func (n *Node) jitter(stream uint64) *peer.Backoff {
-	return peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, stream)))
+	return peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, stream)), logBackoffMax)
 }
 
 // readLog reads the config stream for as long as the node is open.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,11 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"cardamomhatch/internal/devtls"
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/peer"
 )
 
 // Guards against a call that changes on its way over two nodes, with and
@@ -102,3 +105,38 @@
 		t.Fatalf("secret %q", e.Secret)
 	}
 }
+
+// Guards against a call that cannot run at its entry node's own upstream, and
+// against headers of an earlier attempt that reach the upstream.
+func TestRunAfterAFailedForward(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		seen <- r.Header.Clone()
+		w.Write(body)
+	}))
+	defer upstream.Close()
+	n := startNode(t, "entry", nil, nil)
+	n.announce(t, upstream.URL)
+	n.route(mesh.Member{Node: mesh.NodeID{Host: "dead"}, PeerAddress: "127.0.0.1:1"})
+	n.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+		e, ok := ev.(*engine.AttemptFailed)
+		if !ok || !e.Replayable {
+			return out, false
+		}
+		return append(out, engine.Effect{Kind: engine.Run, Call: e.Call, Attempt: 2, Token: engine.Token{1},
+			Remaining: testDeadline, Hop: engine.Hop{Workspace: "w2"}}), true
+	})
+	_, body, err := do(client(t, nil), request(t, "POST", n.callers+"/x", "body"))
+	if err != nil || body != "body" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	h := <-seen
+	if h.Get(engine.HopHeader) != "" || h.Get(peer.FromHeader) != "" || h.Get("Authorization") != "" {
+		t.Errorf("upstream saw %v", h)
+	}
+	token := engine.Token{1}
+	if h.Get(engine.CallHeader) != token.String() || h.Get(engine.WorkspaceHeader) != "w2" || h.Get(engine.TimeoutHeader) != "20000" {
+		t.Errorf("upstream saw %v", h)
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -151,7 +151,7 @@
 	var l link
 	defer l.close()
 	seed := mesh.RendezvousScore(address, c.cfg.Self)
-	backoff := NewBackoff(rand.New(rand.NewPCG(c.cfg.Seed, seed)))
+	backoff := NewBackoff(rand.New(rand.NewPCG(c.cfg.Seed, seed)), redialMax)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
 	for {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -187,3 +188,22 @@
 		t.Fatalf("%d drops counted, want 3", n)
 	}
 }
+
+// Guards against pauses that leave their bounds, do not grow, or are the same
+// on every node.
+func TestBackoff(t *testing.T) {
+	a := NewBackoff(rand.New(rand.NewPCG(1, 1)), redialMax)
+	b := NewBackoff(rand.New(rand.NewPCG(1, 2)), redialMax)
+	differ := false
+	for pause := backoffMin; pause < 4*redialMax; pause *= 2 {
+		full := min(pause, redialMax)
+		x, y := a.Next(), b.Next()
+		if x < full/2 || x > full || y < full/2 || y > full {
+			t.Fatalf("pauses %s and %s, want %s to %s", x, y, full/2, full)
+		}
+		differ = differ || x != y
+	}
+	if a.Reset(); !differ || a.Next() > backoffMin {
+		t.Fatalf("pauses differ: %v; after a reset it does not start again", differ)
+	}
+}
