--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -1,12 +1,15 @@
 package engine
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/admission"
 	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/declaration"
 	"cardamomhatch/internal/evidence"
 	"cardamomhatch/internal/keys"
 	"cardamomhatch/internal/logservice"
@@ -104,6 +107,7 @@
 // apply brings the slices in line with the folded configuration.
 func (n *Node) apply(now time.Duration, c changes) {
 	n.control.applied = n.state.Offset()
+	n.control.assignDirty = true
 	if c.mesh {
 		n.applyMesh(now)
 	}
@@ -114,16 +118,39 @@
 	if c.panel {
 		n.evidence.SetPanel(now, evidence.Panel(n.state.Panel()))
 	}
-	if c.shares || c.mesh {
+	if c.shares || len(n.state.Mesh().Workspaces) != n.control.workspaces {
+		n.control.workspaces = len(n.state.Mesh().Workspaces)
 		n.applyShares(now)
 	}
 	n.setKnowledge(now)
 }
 
+// applyMesh brings the slices in line with a changed mesh. A mesh shares the
+// parts that did not change with the one before it, so only parts with a new
+// identity are applied: at 83,000 changes a day a rebuild of all would take most
+// of the control plane's processor time.
 func (n *Node) applyMesh(now time.Duration) {
-	m := n.state.Mesh()
-	n.routes = newRouteTable(m.Routes)
-	n.setEdges(m.Edges)
+	previous, m := n.control.mesh, n.state.Mesh()
+	n.control.mesh = m
+	if previous == nil || !samePart(previous.Routes, m.Routes) {
+		n.routes = newRouteTable(m.Routes)
+	}
+	if previous == nil || !samePart(previous.Edges, m.Edges) {
+		n.setEdges(m.Edges)
+	}
+	if previous == nil || !samePart(previous.Workspaces, m.Workspaces) {
+		n.applyWorkspaces(now, m)
+	}
+	n.recordEvent(now, timeline.Event{Kind: timeline.Revision, Value: int64(n.state.Revision())})
+}
+
+// samePart reports whether two maps or two slices are one and the same.
+func samePart(a, b any) bool {
+	x, y := reflect.ValueOf(a), reflect.ValueOf(b)
+	return x.Pointer() == y.Pointer() && x.Len() == y.Len()
+}
+
+func (n *Node) applyWorkspaces(now time.Duration, m *declaration.Mesh) {
 	limits := make([]quota.Limit, 0, len(m.Workspaces))
 	weights := make([]admission.Weight, 0, len(m.Workspaces))
 	for _, ws := range sortedWorkspaces(m) {
@@ -133,7 +160,6 @@
 	}
 	n.quota.SetLimits(now, limits)
 	n.admission.SetWeights(weights)
-	n.recordEvent(now, timeline.Event{Kind: timeline.Revision, Value: int64(n.state.Revision())})
 }
 
 func (n *Node) applyKeys(now time.Duration, c changes) {
@@ -182,6 +208,36 @@
 	n.control.folded = members
 	n.members.Fold(members)
 	n.applyMembers(now)
+	n.evidence.SetRelays(n.relays())
+}
+
+// Evidence and pending withdrawals reach a large fleet through a few relays in
+// each data centre, so that the panel's work does not grow with the fleet.
+const (
+	relayFleet = 64 // members from which relays are used
+	relayCount = 3  // relays in each data centre
+)
+
+// relays returns the relays of this node's data centre, or none in a small
+// fleet, where every node asks the panel itself.
+func (n *Node) relays() []mesh.NodeID {
+	if len(n.control.folded) < relayFleet {
+		return nil
+	}
+	best := make([]mesh.Member, 0, relayCount+1)
+	for _, m := range n.control.folded {
+		if m.DataCentre != n.cfg.Self.DataCentre {
+			continue
+		}
+		best = append(best, m)
+		slices.SortFunc(best, byRank("relay"))
+		best = best[:min(len(best), relayCount)]
+	}
+	nodes := make([]mesh.NodeID, len(best))
+	for i, m := range best {
+		nodes[i] = m.Node
+	}
+	return nodes
 }
 
 func (n *Node) applyMembers(now time.Duration) {
