--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -49,7 +49,8 @@
 	proposals   map[string]*proposal
 	tasks       map[string]string // token of the proposal of an assignment task
 	withdrawals map[keys.ID]*withdrawal
-	status      map[mesh.NodeID]StatusReply
+	status      map[mesh.NodeID]MemberStatus
+	drains      map[string]*drain             // by token
 	unreachable map[mesh.NodeID]time.Duration // since when
 	watched     map[uint64]bool               // offsets of share records that wait to be in force
 	fresh       bool
@@ -69,7 +70,8 @@
 		proposals:   make(map[string]*proposal),
 		tasks:       make(map[string]string),
 		withdrawals: make(map[keys.ID]*withdrawal),
-		status:      make(map[mesh.NodeID]StatusReply),
+		status:      make(map[mesh.NodeID]MemberStatus),
+		drains:      make(map[string]*drain),
 		unreachable: make(map[mesh.NodeID]time.Duration),
 	}
 }
@@ -97,7 +99,11 @@
 	case *UpstreamAnnounced:
 		n.announced(now, ev)
 	case *DrainRequested:
-		n.members.Drain(now)
+		n.drainLocal(now)
+	case *DrainAsked:
+		n.drainAsked(now, ev)
+	case *StatusAsked:
+		n.askStatus(ev.Beyond)
 	case *StopRequested:
 		n.stop(now)
 	}
@@ -135,6 +141,7 @@
 	n.admission.SetSlots(now, local.Slots, local.Connections)
 	n.pump(now)
 	n.expireProposals(now)
+	n.repeatDrains(now)
 	n.settleWithdrawals(now)
 	n.fetchIfBehind(now)
 }
@@ -194,9 +201,14 @@
 	case RecordsReply:
 		n.recordsReceived(now, m)
 	case StatusRequest:
-		n.post(e.From, StatusReply{Offset: n.state.Offset(), Revision: n.state.Revision(), Digest: n.state.Digest()})
+		n.post(e.From, n.statusReply())
 	case StatusReply:
-		n.control.status[e.From] = m
+		n.control.status[e.From] = MemberStatus{StatusReply: m, At: now}
+	case DrainRequest:
+		n.drainLocal(now)
+		n.post(e.From, DrainReply(m))
+	case DrainReply:
+		n.drainConfirmed(e.From, m.Token)
 	case ticket.Handover:
 		n.acceptHandover(now, m)
 	default:
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -131,6 +131,17 @@
 // DrainRequested starts the drain of the local upstream.
 type DrainRequested struct{}
 
+// DrainAsked asks, on behalf of an operator, for the drain of the upstream
+// beside a node, which need not be this one. Decided reports the result.
+type DrainAsked struct {
+	Token string
+	Node  mesh.NodeID
+}
+
+// StatusAsked asks all other members how far they have folded the log; a Beyond
+// above zero leaves out those known to have passed that offset.
+type StatusAsked struct{ Beyond uint64 }
+
 // StopRequested starts a planned stop of the node.
 type StopRequested struct{}
 
@@ -158,6 +169,8 @@
 func (*KeyWithdrawn) event()      {}
 func (*UpstreamAnnounced) event() {}
 func (*DrainRequested) event()    {}
+func (*DrainAsked) event()        {}
+func (*StatusAsked) event()       {}
 func (*StopRequested) event()     {}
 func (*Tick) event()              {}
 
@@ -195,7 +208,8 @@
 	Append
 	// AppendSnapshot appends Data to the snapshots stream under Token.
 	AppendSnapshot
-	// Decided reports the outcome of a Proposed or KeyWithdrawn under Token.
+	// Decided reports the outcome of a Proposed, KeyWithdrawn or DrainAsked under
+	// its token.
 	Decided
 	// Stopped reports that a planned stop is complete and the process may end.
 	Stopped
@@ -225,7 +239,8 @@
 // Decision is the outcome of an operator's proposal.
 type Decision struct {
 	Accepted    bool
-	Reason      string // why it was rejected, naming the conflicting record
+	Undecided   bool   // not accepted, but it may still take effect
+	Reason      string // why it was not accepted
 	Offset      uint64
 	Confirmed   []mesh.NodeID // nodes known to have it in force
 	Unconfirmed []mesh.NodeID
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -27,6 +27,12 @@
 	Digest   string
 }
 
+// DrainRequest asks a node to drain its upstream on behalf of an operator.
+type DrainRequest struct{ Token string }
+
+// DrainReply says that the sender's upstream drains.
+type DrainReply struct{ Token string }
+
 // MessageName implements mesh.Message.
 func (RecordsRequest) MessageName() string { return "records-request" }
 
@@ -39,9 +45,17 @@
 // MessageName implements mesh.Message.
 func (StatusReply) MessageName() string { return "status-reply" }
 
+// MessageName implements mesh.Message.
+func (DrainRequest) MessageName() string { return "drain-request" }
+
+// MessageName implements mesh.Message.
+func (DrainReply) MessageName() string { return "drain-reply" }
+
 func init() {
 	mesh.RegisterMessage(RecordsRequest{})
 	mesh.RegisterMessage(RecordsReply{})
 	mesh.RegisterMessage(StatusRequest{})
 	mesh.RegisterMessage(StatusReply{})
+	mesh.RegisterMessage(DrainRequest{})
+	mesh.RegisterMessage(DrainReply{})
 }
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -28,7 +28,8 @@
 	data      []byte
 	operator  bool // an operator waits for the decision
 	deadline  time.Duration
-	unknown   bool          // an append ended without an answer
+	lost      bool          // any append ended without an answer
+	unknown   bool          // the last append ended without an answer
 	unknownAt time.Duration // time of that end
 }
 
@@ -39,6 +40,14 @@
 	if err != nil {
 		return
 	}
+	if offset, verdict, found := n.state.Find(id); found {
+		n.decided(&proposal{token: token, operator: operator}, verdict, offset)
+		return
+	}
+	if p := n.control.proposals[token]; p != nil {
+		p.deadline = now + proposalTimeout // the first record under a token counts
+		return
+	}
 	n.control.proposals[token] = &proposal{
 		token: token, id: id, data: data, operator: operator, deadline: now + proposalTimeout,
 	}
@@ -50,7 +59,9 @@
 	if p == nil || ev.Err == nil {
 		return
 	}
-	if errors.Is(ev.Err, logservice.ErrUnknown) {
+	p.lost = p.lost || errors.Is(ev.Err, logservice.ErrUnknown)
+	if p.lost {
+		// An earlier append may have taken effect even if this one has not.
 		p.unknown = true
 		p.unknownAt = now
 		return
@@ -76,7 +87,7 @@
 		p := n.control.proposals[token]
 		if now >= p.deadline {
 			delete(n.control.proposals, token)
-			n.reject(p, "the log has not confirmed the record; it may still take effect")
+			n.undecided(p, "the log has not confirmed the record; it may still take effect")
 		}
 	}
 }
@@ -111,6 +122,12 @@
 	}
 }
 
+func (n *Node) undecided(p *proposal, reason string) {
+	if p.operator {
+		n.emit(Effect{Kind: Decided, AppendID: p.token, Decision: &Decision{Undecided: true, Reason: reason}})
+	}
+}
+
 // withdrawal is a withdrawal of a key that an operator asked this node for.
 type withdrawal struct {
 	deadline time.Duration
@@ -164,6 +181,7 @@
 func (n *Node) answerWithdrawal(id keys.ID, accepted bool, unconfirmed []mesh.NodeID) {
 	d := &Decision{Accepted: accepted, Unconfirmed: unconfirmed}
 	if !accepted {
+		d.Undecided = true
 		d.Reason = "neither the log nor a majority of the panel holds the withdrawal yet; it stays pending"
 	}
 	n.emit(Effect{Kind: Decided, AppendID: string(id), Decision: d})
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -119,6 +119,12 @@
 	return p.await(ctx, id, &engine.KeyWithdrawn{ID: id})
 }
 
+// DrainNode drains the upstream beside a node, which need not be this one, and
+// waits until that node has confirmed.
+func (p *Process) DrainNode(ctx context.Context, token string, node mesh.NodeID) (*engine.Decision, error) {
+	return p.await(ctx, token, &engine.DrainAsked{Token: token, Node: node})
+}
+
 func (p *Process) await(ctx context.Context, token string, ev engine.Event) (*engine.Decision, error) {
 	result := p.decisions.expect(token)
 	defer p.decisions.forget(token, result)
