--- a/cmd/cardamomhatch/dev.go
+++ b/cmd/cardamomhatch/dev.go
@@ -80,7 +80,7 @@
 }
 
 func writeReadyFile(path string, m *dev.Mesh) error {
-	ready := readyFile{Keys: m.Keys, Log: m.LogURL}
+	ready := readyFile{Keys: m.Keys, Log: m.LogURL, OperatorToken: m.OperatorToken}
 	for _, h := range m.Hosts {
 		ready.Callers = append(ready.Callers, h.CallerURL)
 		ready.Operators = append(ready.Operators, h.OperatorURL)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -24,6 +25,7 @@
 	"cardamomhatch/internal/logservice"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/node"
+	"cardamomhatch/internal/operator"
 	"cardamomhatch/internal/process"
 	"cardamomhatch/internal/standin/logserver"
 	"cardamomhatch/internal/standin/upstream"
@@ -37,7 +39,7 @@
 	Seed        uint64
 	TLS         bool // on the caller and peer listeners
 	Logger      node.Logger
-	Operators   func(*process.Process) http.Handler
+	Operators   func(*process.Process) http.Handler // nil: the intent API under Mesh.OperatorToken
 	// Upstream adjusts the configuration of one stand-in upstream.
 	Upstream func(*upstream.Config)
 	// LogDelay is added to every request to the log service.
@@ -54,6 +56,8 @@
 	LogURL      string
 	Keys        map[mesh.Workspace]string
 	Hosts       []*Host
+	// OperatorToken is accepted on the operator listeners.
+	OperatorToken string
 
 	options   Options
 	random    *rand.Rand
@@ -78,6 +82,12 @@
 			return nil, err
 		}
 	}
+	if m.OperatorToken, err = newOperatorToken(); err != nil {
+		return nil, err
+	}
+	if m.options.Operators == nil {
+		m.options.Operators = m.intentAPI
+	}
 	if o.TLS {
 		if m.authority, err = devtls.New(); err != nil {
 			return nil, err
@@ -90,6 +100,25 @@
 	return m, nil
 }
 
+// operatorTokenBytes is the number of random bytes in an operator token.
+const operatorTokenBytes = 32
+
+func newOperatorToken() (string, error) {
+	var b [operatorTokenBytes]byte
+	_, err := cryptoRandom.Read(b[:])
+	return hex.EncodeToString(b[:]), err
+}
+
+func (m *Mesh) intentAPI(p *process.Process) http.Handler {
+	h, err := operator.New(operator.Config{
+		Node: p, Self: p.Self.Node, TokenHash: operator.TokenHash(m.OperatorToken), Metrics: p.Metrics, Random: cryptoRandom,
+	})
+	if err != nil {
+		panic(err) // every field is set here
+	}
+	return h
+}
+
 func (m *Mesh) start(ctx context.Context) error {
 	if err := m.startLog(); err != nil {
 		return err
--- a/internal/engine/operate.go
+++ b/internal/engine/operate.go
@@ -7,6 +7,7 @@
 
 	"cardamomhatch/internal/admission"
 	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/keys"
 	"cardamomhatch/internal/membership"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/timeline"
@@ -186,3 +187,7 @@
 	}
 	return held
 }
+
+// WithdrawalPending reports whether this node refuses a key whose withdrawal
+// the log does not carry yet.
+func (n *Node) WithdrawalPending(id string) bool { return n.isPending(keys.ID(id)) }
--- /dev/null
+++ b/internal/operator/metrics.go
@@ -0,0 +1,26 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// writeMetrics writes one line per value, "name value" or "name.field value",
+// sorted by name.
+func writeMetrics(w io.Writer, r metrics.Registry) {
+	all := r.GetAll()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		fields := all[name]
+		for _, field := range slices.Sorted(maps.Keys(fields)) {
+			if field == "count" || field == "value" {
+				fmt.Fprintf(w, "%s %v\n", name, fields[field])
+				continue
+			}
+			fmt.Fprintf(w, "%s.%s %v\n", name, field, fields[field])
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,235 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/timeline"
+)
+
+// Status describes one node. Times that may be unknown are left out.
+type Status struct {
+	Node               NodeRef         `json:"node"`
+	DataCentre         mesh.DataCentre `json:"data_centre"`
+	Service            mesh.Service    `json:"service"`
+	Configured         bool            `json:"configured"`
+	Revision           uint64          `json:"revision"` // offset of the last accepted change
+	Offset             uint64          `json:"offset"`   // next record to fold
+	Digest             string          `json:"digest"`
+	Gap                bool            `json:"gap"` // the log dropped records that this node lacks
+	LogReachable       bool            `json:"log_reachable"`
+	Fresh              bool            `json:"fresh"`
+	FreshUntil         *time.Time      `json:"fresh_until,omitempty"`
+	Stopping           bool            `json:"stopping"`
+	Calls              int             `json:"calls"` // that this node handles in any role
+	Upstream           Upstream        `json:"upstream"`
+	Shares             []Share         `json:"shares"` // held by this node
+	PendingWithdrawals []string        `json:"pending_withdrawals"`
+	Members            []Member        `json:"members"`
+}
+
+// Upstream describes the upstream beside the node and the admission to it.
+type Upstream struct {
+	URL         string   `json:"url,omitempty"`
+	Serving     bool     `json:"serving"`
+	Ready       bool     `json:"ready"`
+	Draining    bool     `json:"draining"`
+	Lapsed      bool     `json:"lapsed"` // it announced itself before, but no longer
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+	InFlight    int      `json:"in_flight"`
+	Limit       int      `json:"limit"`
+	Queued      int      `json:"queued"`
+	QueueWaitMs float64  `json:"queue_wait_ms"`
+	ServiceMs   float64  `json:"service_ms"`
+	Cut         mesh.Cut `json:"cut"`
+}
+
+// Share is one part of a workspace's rate and burst.
+type Share struct {
+	Workspace mesh.Workspace `json:"workspace"`
+	Index     int            `json:"index"`
+	Count     int            `json:"count"`
+	Epoch     uint64         `json:"epoch"`
+	Active    bool           `json:"active"` // the assignment is in force
+}
+
+// Member is a node and the last that it has said about itself to this one.
+type Member struct {
+	Node            NodeRef         `json:"node"`
+	DataCentre      mesh.DataCentre `json:"data_centre"`
+	Service         mesh.Service    `json:"service"`
+	OperatorAddress string          `json:"operator_address"`
+	Unreachable     bool            `json:"unreachable,omitempty"`
+	Offset          *uint64         `json:"offset,omitempty"`
+	Revision        *uint64         `json:"revision,omitempty"`
+	Digest          string          `json:"digest,omitempty"`
+	AgeMs           *int64          `json:"age_ms,omitempty"`
+}
+
+// status describes this node. With ask=1 it first asks the other members for
+// theirs; otherwise it shows what they said last.
+func (a *api) status(_ http.ResponseWriter, r *http.Request) (int, any, error) {
+	if r.URL.Query().Get("ask") == "1" {
+		a.askMembers(r.Context())
+	}
+	var report engine.Report
+	a.cfg.Node.View(func(n *engine.Node) { report = n.Report() })
+	return http.StatusOK, describe(report), nil
+}
+
+// askMembers waits until every member has answered a question sent now, or for
+// askWait.
+func (a *api) askMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	asked := time.Now()
+	a.cfg.Node.Step(&engine.StatusAsked{})
+	for pause(ctx, minAskInterval) {
+		all := true
+		a.cfg.Node.View(func(n *engine.Node) {
+			for _, m := range n.Report().Members {
+				all = all && m.Known && m.Age <= time.Since(asked)
+			}
+		})
+		if all {
+			return
+		}
+	}
+}
+
+func describe(r engine.Report) Status {
+	s := Status{
+		Node: refer(r.Self.Node), DataCentre: r.Self.DataCentre, Service: r.Self.Service,
+		Configured: r.Configured, Revision: r.Revision, Offset: r.Offset, Digest: r.Digest, Gap: r.Gap,
+		LogReachable: r.LogReachable, Fresh: r.Fresh, Stopping: r.Stopping, Calls: r.InFlight,
+		Upstream: describeUpstream(r), Shares: []Share{}, Members: []Member{},
+		PendingWithdrawals: append([]string{}, r.Withdrawals...),
+	}
+	if r.FreshUntil != 0 {
+		until := time.Unix(0, r.FreshUntil).UTC()
+		s.FreshUntil = &until
+	}
+	for _, h := range r.Shares {
+		s.Shares = append(s.Shares, Share{h.Workspace, h.Index, h.Count, h.Epoch, h.Active})
+	}
+	for _, m := range r.Members {
+		s.Members = append(s.Members, describeMember(m))
+	}
+	return s
+}
+
+func describeUpstream(r engine.Report) Upstream {
+	return Upstream{
+		URL: r.Local.URL, Serving: r.Local.Serving, Ready: r.Local.Ready, Draining: r.Local.Draining,
+		Lapsed: r.Local.Lapsed, Slots: r.Local.Slots, Connections: r.Local.Connections,
+		InFlight: r.Load.InFlight, Limit: r.Load.Limit, Queued: r.Load.Queued,
+		QueueWaitMs: milliseconds(r.Load.Wait), ServiceMs: milliseconds(r.Load.Service), Cut: r.Cut,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func describeMember(r engine.MemberReport) Member {
+	m := Member{
+		Node: refer(r.Node), DataCentre: r.DataCentre, Service: r.Service,
+		OperatorAddress: r.OperatorAddress, Unreachable: r.Unreachable,
+	}
+	if r.Known {
+		age := r.Age.Milliseconds()
+		m.Offset, m.Revision, m.Digest, m.AgeMs = &r.Status.Offset, &r.Status.Revision, r.Status.Digest, &age
+	}
+	return m
+}
+
+// timeline writes the events of this node as JSON lines.
+func (a *api) timeline(w http.ResponseWriter, r *http.Request) (int, any, error) {
+	f, err := readFilter(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	var events []timeline.Event
+	a.cfg.Node.View(func(n *engine.Node) { events = n.Timeline() })
+	w.Header().Set("Content-Type", "application/jsonl")
+	_ = timeline.WriteJSON(w, timeline.Select(events, f)) // the operator is gone
+	return 0, nil, nil
+}
+
+func readFilter(r *http.Request) (timeline.Filter, error) {
+	var f timeline.Filter
+	for name, values := range r.URL.Query() {
+		for _, value := range values {
+			if err := addToFilter(&f, name, value); err != nil {
+				return f, fail(http.StatusBadRequest, CodeBadRequest, "%v", err)
+			}
+		}
+	}
+	return f, nil
+}
+
+func addToFilter(f *timeline.Filter, name, value string) error {
+	switch name {
+	case "kind":
+		kind, err := timeline.ParseKind(value)
+		f.Kinds = append(f.Kinds, kind)
+		return err
+	case "workspace":
+		f.Workspace = mesh.Workspace(value)
+	case "action":
+		action, err := timeline.ParseAction(value)
+		f.Action = action
+		return err
+	default:
+		return fmt.Errorf("filter %q is none of kind, workspace, action", name)
+	}
+	return nil
+}
+
+// metrics writes the registry as plain text, or as JSON with format=json.
+func (a *api) metrics(w http.ResponseWriter, r *http.Request) (int, any, error) {
+	a.gauge()
+	if r.URL.Query().Get("format") == "json" {
+		return http.StatusOK, a.cfg.Metrics, nil
+	}
+	var text bytes.Buffer
+	writeMetrics(&text, a.cfg.Metrics)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write(text.Bytes()) // the operator is gone
+	return 0, nil, nil
+}
+
+// gauge brings the gauges that describe the engine up to date. The engine keeps
+// no metrics, since a registry is shared between goroutines.
+func (a *api) gauge() {
+	var r engine.Report
+	a.cfg.Node.View(func(n *engine.Node) { r = n.Report() })
+	set := func(name string, v int64) { metrics.GetOrRegisterGauge(name, a.cfg.Metrics).Update(v) }
+	set("config.offset", int64(r.Offset))
+	set("config.revision", int64(r.Revision))
+	set("config.members", int64(len(r.Members)))
+	set("evidence.fresh", number(r.Fresh))
+	set("log.reachable", number(r.LogReachable))
+	set("keys.pending_withdrawals", int64(len(r.Withdrawals)))
+	set("quota.shares_held", int64(len(r.Shares)))
+	set("calls.in_flight", int64(r.InFlight))
+	set("upstream.serving", number(r.Local.Serving))
+	set("upstream.in_flight", int64(r.Load.InFlight))
+	set("upstream.limit", int64(r.Load.Limit))
+	set("upstream.queued", int64(r.Load.Queued))
+	set("upstream.queue_wait_us", r.Load.Wait.Microseconds())
+	set("upstream.service_us", r.Load.Service.Microseconds())
+}
+
+func number(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
