--- a/internal/config/inspect.go
+++ b/internal/config/inspect.go
@@ -1,20 +1,37 @@
 package config
 
-import "encoding/json"
+import (
+	"encoding/json"
 
-// Inspect returns the kind of a record and, for a record about a key, the id of
-// the key. It returns an empty kind for data that is no record.
-func Inspect(data []byte) (Kind, string) {
+	"cardamomhatch/internal/mesh"
+)
+
+// Touched names what a record is about, as far as one thing can be named.
+type Touched struct {
+	Kind  Kind
+	KeyID string    // of records about keys
+	Host  mesh.Host // of records about nodes
+}
+
+// Inspect returns what a record touches. The kind is empty for data that is no
+// record.
+func Inspect(data []byte) Touched {
 	var r struct {
 		Kind      Kind             `json:"kind"`
 		Issued    keyIssuedBody    `json:"key_issued"`
 		Withdrawn keyWithdrawnBody `json:"key_withdrawn"`
+		Joined    mesh.Member      `json:"node_joined"`
+		Left      nodeLeftBody     `json:"node_left"`
 	}
 	if err := json.Unmarshal(data, &r); err != nil {
-		return "", ""
+		return Touched{}
 	}
+	t := Touched{Kind: r.Kind, KeyID: r.Issued.ID, Host: r.Joined.Node.Host}
 	if r.Kind == KindKeyWithdrawn {
-		return r.Kind, r.Withdrawn.ID
+		t.KeyID = r.Withdrawn.ID
+	}
+	if r.Kind == KindNodeLeft {
+		t.Host = r.Left.Node.Host
 	}
-	return r.Kind, r.Issued.ID
+	return t
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -60,10 +60,10 @@
 	lent       int         // allowance lent to the current attempt
 	retryAt    time.Duration
 	redirected bool // forwarded to the owner of its ticket
+	serving    bool // another node chose this one; it decides on retries
 
 	ticket     string
 	ownsTicket bool // this execution must be reported to the ticket book
-	detached   bool // the caller has gone; the call goes on for its ticket
 
 	token           Token
 	runAt           time.Duration
@@ -117,9 +117,7 @@
 	if c.origin == fromNode {
 		effect.Load = n.loadReport(now, c)
 	}
-	if !c.detached {
-		n.emit(effect)
-	}
+	n.emit(effect) // also when the caller has gone: every call ends with an effect
 	n.settleTicket(now, c, r)
 	n.finish(now, c)
 }
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -11,7 +11,6 @@
 	"cardamomhatch/internal/membership"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/quota"
-	"cardamomhatch/internal/ticket"
 	"cardamomhatch/internal/timeline"
 )
 
@@ -128,6 +127,7 @@
 func (n *Node) controlTick(now time.Duration) {
 	n.envelopes = n.evidence.Tick(now, n.envelopes)
 	n.envelopes = n.members.Tick(now, n.envelopes)
+	n.envelopes = n.tickets.Tick(now, n.envelopes)
 	n.evidenceChanged(now)
 	n.activateShares(now)
 	n.applyMembers(now)
@@ -197,8 +197,6 @@
 		n.post(e.From, StatusReply{Offset: n.state.Offset(), Revision: n.state.Revision(), Digest: n.state.Digest()})
 	case StatusReply:
 		n.control.status[e.From] = m
-	case ticket.Handover:
-		n.acceptHandover(now, m)
 	default:
 		n.deliverToSlices(now, e)
 	}
@@ -209,6 +207,7 @@
 	n.envelopes = n.evidence.Deliver(now, e.From, e.Message, n.envelopes)
 	n.envelopes = n.quota.Deliver(now, e.From, e.Message, n.envelopes)
 	n.envelopes = n.members.Deliver(now, e.From, e.Message, n.envelopes)
+	n.envelopes = n.tickets.Deliver(now, e.From, e.Message, n.envelopes)
 	fresh, n.envelopes = n.keys.Deliver(n.cfg.Self.Node, e.From, e.Message, n.envelopes)
 	for _, id := range fresh {
 		n.withdrawalLearned(now, id)
@@ -221,13 +220,6 @@
 	n.envelopes = append(n.envelopes, mesh.Envelope{From: n.cfg.Self.Node, To: to, Message: m})
 }
 
-func (n *Node) acceptHandover(now time.Duration, h ticket.Handover) {
-	if err := n.tickets.Accept(now, h); err != nil {
-		return
-	}
-	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
-}
-
 func (n *Node) announced(now time.Duration, ev *UpstreamAnnounced) {
 	was := n.members.Local(now).Serving
 	n.members.Announced(now, membership.Announcement{
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -60,6 +60,15 @@
 	if !route.Idempotent {
 		c.ticket = ev.Ticket
 	}
+	if c.ticket != "" {
+		n.beginTicket(now, c)
+		return
+	}
+	n.admit(now, c)
+}
+
+// admit checks a call against the load of its service and its workspace's rate.
+func (n *Node) admit(now time.Duration, c *call) {
 	if !n.routing.Cut(now, c.service).Admits(c.class, c.action) {
 		n.refuse(now, c, outcome.NotRun, outcome.Overloaded, retryAfterOverload)
 		return
@@ -118,19 +127,17 @@
 // admitted continues a call that passed the checks at its entry node.
 func (n *Node) admitted(now time.Duration, c *call) {
 	n.record(now, timeline.Admitted, c, outcome.None, int64(c.class))
-	if c.ticket == "" {
-		n.route(now, c)
-		return
-	}
-	n.beginTicket(now, c)
+	n.route(now, c)
 }
 
+// beginTicket looks up the ticket of a call before anything can refuse it: "not
+// run" would be wrong if an earlier call with this ticket has run.
 func (n *Node) beginTicket(now time.Duration, c *call) {
 	b := n.tickets.Begin(now, c.ticket, c.workspace, c.id)
 	switch b.Kind {
 	case ticket.Fresh:
 		c.ownsTicket = true
-		n.route(now, c)
+		n.admit(now, c)
 	case ticket.Running:
 		c.phase = waitsForTicket
 	case ticket.Finished:
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"reflect"
 	"slices"
 	"time"
@@ -84,19 +85,20 @@
 
 // changes tells which parts of the configuration a batch of records touched.
 type changes struct {
-	mesh, members, panel, shares bool
-	keys                         []string // ids; nil with allKeys
-	allKeys                      bool
+	mesh, panel, shares bool
+	keys                []string // ids
+	hosts               []mesh.Host
+	all                 bool // a snapshot replaced the state
 }
 
 func (c *changes) add(data []byte) {
-	switch kind, keyID := config.Inspect(data); kind {
+	switch t := config.Inspect(data); t.Kind {
 	case config.KindChange:
 		c.mesh = true
 	case config.KindKeyIssued, config.KindKeyWithdrawn:
-		c.keys = append(c.keys, keyID)
+		c.keys = append(c.keys, t.KeyID)
 	case config.KindNodeJoined, config.KindNodeLeft:
-		c.members = true
+		c.hosts = append(c.hosts, t.Host)
 	case config.KindPanel, config.KindPanelSettled:
 		c.panel = true
 	case config.KindShares:
@@ -108,17 +110,17 @@
 func (n *Node) apply(now time.Duration, c changes) {
 	n.control.applied = n.state.Offset()
 	n.control.assignDirty = true
-	if c.mesh {
+	if c.mesh || c.all {
 		n.applyMesh(now)
 	}
 	n.applyKeys(now, c)
-	if c.members {
-		n.foldMembers(now)
+	if c.all || len(c.hosts) > 0 {
+		n.foldMembers(now, c)
 	}
-	if c.panel {
+	if c.panel || c.all {
 		n.evidence.SetPanel(now, evidence.Panel(n.state.Panel()))
 	}
-	if c.shares || len(n.state.Mesh().Workspaces) != n.control.workspaces {
+	if c.shares || c.all || len(n.state.Mesh().Workspaces) != n.control.workspaces {
 		n.control.workspaces = len(n.state.Mesh().Workspaces)
 		n.applyShares(now)
 	}
@@ -163,7 +165,7 @@
 }
 
 func (n *Node) applyKeys(now time.Duration, c changes) {
-	if c.allKeys {
+	if c.all {
 		n.replaceKeys()
 		for _, k := range n.state.Keys() {
 			n.keys.Add(keys.Record{ID: keys.ID(k.ID), Hash: k.Hash, Workspace: k.Workspace})
@@ -195,22 +197,58 @@
 	}
 }
 
-// foldMembers passes the member list of the log on, with the successors of the
+// foldMembers passes changes of the member list on, with the successors of the
 // nodes that left.
-func (n *Node) foldMembers(now time.Duration) {
-	members := n.state.Members()
-	for _, old := range n.control.folded {
-		if successor, departed := n.state.Departed(old.Node); departed {
-			n.members.FoldLeft(old.Node, successor)
-			n.tickets.Redirect(now, old.Node, successor)
-		}
+func (n *Node) foldMembers(now time.Duration, c changes) {
+	if c.all {
+		n.foldAllMembers(now)
+	}
+	for _, host := range c.hosts {
+		n.foldMember(now, host)
 	}
-	n.control.folded = members
-	n.members.Fold(members)
 	n.applyMembers(now)
 	n.evidence.SetRelays(n.relays())
 }
 
+func (n *Node) foldAllMembers(now time.Duration) {
+	old := n.control.folded
+	n.control.folded = n.state.Members()
+	for _, m := range old {
+		n.foldDeparture(now, m.Node)
+	}
+	n.members.Fold(n.control.folded)
+}
+
+// foldMember brings one host's entry in line with the log. The list stays
+// ordered by host.
+func (n *Node) foldMember(now time.Duration, host mesh.Host) {
+	i, found := slices.BinarySearchFunc(n.control.folded, host, func(m mesh.Member, h mesh.Host) int {
+		return cmp.Compare(m.Node.Host, h)
+	})
+	if found {
+		n.foldDeparture(now, n.control.folded[i].Node)
+	}
+	m, present := n.state.Member(host)
+	switch {
+	case present && found:
+		n.control.folded[i] = m
+	case present:
+		n.control.folded = slices.Insert(n.control.folded, i, m)
+	case found:
+		n.control.folded = slices.Delete(n.control.folded, i, i+1)
+	}
+	if present {
+		n.members.FoldJoined(m)
+	}
+}
+
+func (n *Node) foldDeparture(now time.Duration, node mesh.NodeID) {
+	if successor, departed := n.state.Departed(node); departed {
+		n.members.FoldLeft(node, successor)
+		n.tickets.Redirect(now, node, successor)
+	}
+}
+
 // Evidence and pending withdrawals reach a large fleet through a few relays in
 // each data centre, so that the panel's work does not grow with the fleet.
 const (
@@ -318,5 +356,5 @@
 	n.state = state
 	n.control.kept = n.control.kept[:0]
 	n.control.gap = false
-	n.apply(now, changes{mesh: true, members: true, panel: true, shares: true, allKeys: true})
+	n.apply(now, changes{all: true})
 }
--- a/internal/engine/node_test.go
+++ b/internal/engine/node_test.go
@@ -165,3 +165,46 @@
 		t.Fatalf("%d actions ran, want 1", len(c.runs))
 	}
 }
+
+// Guards against "not run, over-rate" for a repeated order that has run.
+func TestRepeatedOrderIsAnsweredOverTheRate(t *testing.T) {
+	c := testCluster(t, 7)
+	first := c.order[0]
+	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["bjorn"])})
+	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	if got := c.call1(first, "bjorn", "POST", "/orders", ticket); !got.whole {
+		t.Fatalf("order: %+v", got)
+	}
+	refused := 0
+	for range 100 {
+		name := c.call(c.order[2], "bjorn", "GET", "/items/1", "")
+		c.run(5 * time.Millisecond)
+		if c.ends[name].refusal.Reason == outcome.OverRate {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Fatal("the workspace was never over its rate")
+	}
+	for _, n := range c.order[:3] {
+		if got := c.call1(n, "bjorn", "POST", "/orders", ticket); !got.whole {
+			t.Fatalf("repeated order at %s: %+v", n.member.Node.Host, got)
+		}
+	}
+}
+
+// Guards against "not run" when the owner of a ticket cannot be reached.
+func TestUnreachableTicketOwnerMayHaveRun(t *testing.T) {
+	c := testCluster(t, 8)
+	owner := c.order[0]
+	c.step(owner, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
+	ticket := c.ends[callName{owner.member.Node.Host, c.nextCall}].ticket
+	c.kill(owner)
+	got := c.call1(c.order[1], "anna", "POST", "/orders", ticket)
+	if got.whole || got.refusal.Execution != outcome.MayHaveRun {
+		t.Fatalf("got %+v, want may-have-run", got)
+	}
+	if len(c.runs) != 0 {
+		t.Fatalf("the order ran without its owner: %v", c.runs)
+	}
+}
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -32,6 +32,7 @@
 		n.beginTicket(now, c)
 		return
 	}
+	c.serving = true
 	n.serve(now, c)
 }
 
@@ -272,9 +273,9 @@
 			ticket.Answer{Status: a.Status, Header: a.Header, Body: a.Body}))
 		return
 	}
-	r := outcome.Refusal{Execution: outcome.Ran, Reason: outcome.AnswerNotStored, Node: string(n.cfg.Self.Node.Host)}
+	r := n.refusal(outcome.Ran, outcome.AnswerNotStored, 0)
 	if !ev.Whole {
-		r.Execution, r.Reason = outcome.RanFailed, outcome.AnswerCut
+		r = n.refusal(outcome.RanFailed, outcome.AnswerCut, 0)
 	}
 	n.resumeWaiting(now, n.tickets.Failed(now, c.ticket, r))
 }
@@ -284,7 +285,11 @@
 	if c == nil || c.attempt != ev.Attempt {
 		return
 	}
-	r := outcome.Refusal{Execution: ev.Execution, Reason: ev.Reason, Node: string(n.cfg.Self.Node.Host)}
+	r := n.refusal(ev.Execution, ev.Reason, 0)
+	if c.redirected {
+		// An earlier call with this ticket may have run at its owner.
+		r = n.refusal(outcome.MayHaveRun, outcome.TicketOwnerGone, 0)
+	}
 	switch c.phase {
 	case waitsForUpstream:
 		n.runOver(now, c, admission.Failed)
@@ -307,7 +312,7 @@
 	}
 	c.ranAs = worse(c.ranAs, r.Execution)
 	r.Execution = c.ranAs
-	if c.redirected || (c.origin == fromNode && c.ticket == "") || !replayable || n.cfg.Policy == admission.PolicyNone {
+	if c.redirected || c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
 		n.fail(now, c, r)
 		return
 	}
@@ -415,8 +420,7 @@
 		return
 	}
 	if c.ownsTicket {
-		c.detached = true
-		return
+		return // runs on, so that a retry gets its answer
 	}
 	n.abandon(now, c)
 }
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -4,13 +4,16 @@
 	"time"
 
 	"cardamomhatch/internal/config"
-	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/timeline"
 )
 
 // stopGrace bounds how long a planned stop waits for calls in flight.
 const stopGrace = 20 * time.Second
 
+// handoverLimit bounds how long a stopping node waits for its successor to take
+// its tickets.
+const handoverLimit = 5 * time.Second
+
 // stopLinger is how long a stopped node goes on sending tickets and releases,
 // and redirecting calls, so that its peers learn of its successor.
 const stopLinger = 500 * time.Millisecond
@@ -45,7 +48,9 @@
 		}
 		return
 	}
-	if now >= n.control.lingerUntil {
+	taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
+	waited := now >= n.control.lingerUntil+handoverLimit
+	if now >= n.control.lingerUntil && (taken || waited || n.control.successor.IsZero()) {
 		n.stopped = true
 		n.emit(Effect{Kind: Stopped})
 	}
@@ -55,10 +60,6 @@
 	n.control.handedOver = true
 	n.control.lingerUntil = now + stopLinger
 	h := n.tickets.Seal(now)
-	if n.control.successor != (mesh.NodeID{}) {
-		h.To = n.control.successor
-		n.post(n.control.successor, h)
-	}
 	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
 	n.envelopes = n.members.Leave(now, n.control.successor, n.envelopes)
 	n.proposeOnce(now, "leave", func(h config.Header) ([]byte, error) {
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -69,24 +69,36 @@
 
 // Encode returns the value of HopHeader.
 func (h Hop) Encode() string {
-	v := url.Values{}
-	v.Set("a", strconv.FormatUint(uint64(h.Action), 16))
-	v.Set("w", string(h.Workspace))
-	v.Set("s", string(h.Service))
-	v.Set("c", strconv.Itoa(int(h.Class)))
-	v.Set("r", strconv.FormatInt(h.Remaining.Microseconds(), 10))
-	v.Set("l", strconv.Itoa(h.Allowance))
-	v.Set("n", strconv.Itoa(h.Attempt))
-	v.Set("d", strconv.Itoa(h.Depth))
-	v.Set("m", flag(h.Resumed))
-	v.Set("i", flag(h.Idempotent))
-	v.Set("t", h.Ticket)
-	v.Set("p", strconv.FormatInt(h.Wall, 16))
-	v.Set("q", strconv.FormatUint(uint64(h.Logical), 16))
-	return v.Encode()
+	b := make([]byte, 0, 128)
+	hex := func(name string, v uint64) {
+		b = append(b, name...)
+		b = strconv.AppendUint(b, v, 16)
+	}
+	decimal := func(name string, v int64) {
+		b = append(b, name...)
+		b = strconv.AppendInt(b, v, 10)
+	}
+	text := func(name, v string) {
+		b = append(b, name...)
+		b = append(b, url.QueryEscape(v)...)
+	}
+	hex("a=", uint64(h.Action))
+	decimal("&c=", int64(h.Class))
+	decimal("&d=", int64(h.Depth))
+	text("&i=", boolDigit(h.Idempotent))
+	decimal("&l=", int64(h.Allowance))
+	text("&m=", boolDigit(h.Resumed))
+	decimal("&n=", int64(h.Attempt))
+	hex("&p=", uint64(h.Wall))
+	hex("&q=", uint64(h.Logical))
+	decimal("&r=", h.Remaining.Microseconds())
+	text("&s=", string(h.Service))
+	text("&t=", h.Ticket)
+	text("&w=", string(h.Workspace))
+	return string(b)
 }
 
-func flag(b bool) string {
+func boolDigit(b bool) string {
 	if b {
 		return "1"
 	}
@@ -95,7 +107,7 @@
 
 // ParseHop is the inverse of Hop.Encode. The error names the bad field.
 func ParseHop(s string) (Hop, error) {
-	v, err := url.ParseQuery(s)
+	v, err := parseFields(s)
 	if err != nil {
 		return Hop{}, errors.Wrap(err, "hop header")
 	}
@@ -126,8 +138,30 @@
 	maxDepth     = 1 << 8
 )
 
+// fields holds the values of a hop header by the letter of their name.
+type fields ['z' - 'a' + 1]string
+
+// Get returns the value of a field, or an empty string.
+func (f *fields) Get(name string) string { return f[name[0]-'a'] }
+
+func parseFields(s string) (*fields, error) {
+	var f fields
+	for pair := range strings.SplitSeq(s, "&") {
+		name, value, _ := strings.Cut(pair, "=")
+		if len(name) != 1 || name[0] < 'a' || name[0] > 'z' {
+			return nil, errors.Errorf("field %q does not exist", name)
+		}
+		plain, err := url.QueryUnescape(value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "field %q", name)
+		}
+		f[name[0]-'a'] = plain
+	}
+	return &f, nil
+}
+
 type fieldParser struct {
-	values url.Values
+	values *fields
 	err    error
 }
 
--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +11,14 @@
 	"cardamomhatch/internal/mesh"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // Guards against a field that changes on its way between two nodes.
 func TestHopAndLoadRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
