--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -109,6 +109,7 @@
 		return Refuse, outcome.DeadlineExceeded
 	}
 	f := c.queue.flowOf(r.Workspace)
+	c.cut.arrived++
 	c.countArrival(now, f, r.Class)
 	if c.queue.queued == 0 && c.inFlight < c.allowedFor(r.Class) {
 		c.run(now, c.queue.add(r, f, now))
@@ -206,6 +207,7 @@
 	call.running = true
 	call.at = now
 	call.inFlight = int32(c.inFlight)
+	c.cut.ran++
 	c.queue.charge(i)
 	c.standing[call.class].ran(now)
 	c.limiter.started(c.inFlight)
--- a/internal/admission/cut.go
+++ b/internal/admission/cut.go
@@ -16,6 +16,7 @@
 	cutIdleStep    = mesh.CutScale / 16    // first step while slots are free
 	cutMaxDoubling = 5                     // doublings of the loosening step
 	cutNegligible  = 0.1                   // arrivals below which a workspace's counts are dropped
+	cutSlack       = 0.8                   // arrivals per call that runs below which the cut is too tight
 	cutMaxStep     = 0.5                   // smallest factor by which one step tightens the share
 	cutSettle      = 60 * time.Millisecond // until calls arrive under a changed cut
 	cutMemory      = 0.95                  // weight of the past in the counts
@@ -33,6 +34,8 @@
 	calm      int           // windows without pressure
 	idle      bool          // slots were free during the whole window
 	idleRun   int           // windows in a row with free slots
+	arrived   int           // calls that arrived in the window
+	ran       int           // calls that ran in the window
 	counted   []int32       // workspaces with counts
 	countFrom time.Duration // calls that arrived before came under another cut
 }
@@ -45,6 +48,9 @@
 		return
 	}
 	s.at = now
+	// Fewer arrivals than calls that run drain the queue: slots will be free.
+	s.idle = s.idle || float64(s.arrived) < cutSlack*float64(s.ran)
+	s.arrived, s.ran = 0, 0
 	if s.idle {
 		s.idleRun++
 		c.forgetCounts()
