--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -124,6 +124,15 @@
 	return Queue, outcome.None
 }
 
+// limit returns the limit to report: allowed without the short pauses after
+// refusals by the upstream.
+func (c *Controller) limit() int {
+	if c.cfg.Policy == PolicyFull {
+		return int(c.limiter.limit)
+	}
+	return c.allowed()
+}
+
 // allowed returns the number of calls that may be in flight.
 func (c *Controller) allowed() int {
 	switch c.cfg.Policy {
@@ -273,12 +282,15 @@
 			return c.refuse(i, outcome.QueueTimeout), true
 		}
 	}
-	i := c.head()
-	call := &c.queue.calls[i]
-	if c.inFlight >= c.allowedFor(call.class) {
+	if c.inFlight >= c.allowed() {
 		c.limiter.win.blocked = true
 		return Step{}, false
 	}
+	i := c.head()
+	if i == none {
+		return Step{}, false
+	}
+	call := &c.queue.calls[i]
 	if c.late(now, call.deadline) {
 		return c.refuse(i, outcome.DeadlineExceeded), true
 	}
@@ -288,11 +300,27 @@
 	return step, true
 }
 
+// head returns the queued call to run next, or none. A slot that the upstream
+// has not proven yet goes to the least important class that waits. A critical
+// call tries it only once critical calls wait longer than the target; without
+// that the limit could never grow while only critical calls are left.
 func (c *Controller) head() int32 {
-	if c.cfg.Policy == PolicyFull {
-		return c.queue.first(&c.newest)
+	if c.cfg.Policy != PolicyFull {
+		return c.oldest()
+	}
+	i := c.queue.first(&c.newest, mesh.ClassCritical)
+	if c.inFlight < c.allowedFor(c.queue.calls[i].class) {
+		return i
+	}
+	for class := mesh.Class(mesh.NumClasses - 1); class > mesh.ClassCritical; class-- {
+		if less := c.queue.first(&c.newest, class); less != none {
+			return less
+		}
+	}
+	if c.standing[mesh.ClassCritical].above < 0 && !c.newest[mesh.ClassCritical] {
+		return none
 	}
-	return c.oldest()
+	return i
 }
 
 // oldest returns the queued call that arrived first.
@@ -375,7 +403,7 @@
 		Draining: c.draining,
 	}
 	if c.cfg.Policy != PolicyNone {
-		l.Limit = c.allowed()
+		l.Limit = c.limit()
 		l.Wait = c.gap(now) * time.Duration(l.Queued)
 	}
 	return l
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -182,3 +182,44 @@
 		}
 	})
 }
+
+// Guards against a limit that stays low after the upstream has shed, because the
+// slots above it are kept from critical calls and nothing else waits.
+func TestCriticalCallsAloneGrowTheLimit(t *testing.T) {
+	c := New(Config{})
+	running := map[mesh.CallID]time.Duration{}
+	id := mesh.CallID(0)
+	for now := time.Duration(0); now < 4*time.Second; now += ms {
+		slots := 10
+		if now > 2*time.Second {
+			slots = 50
+		}
+		for call := id - min(id, 200); call <= id; call++ { // in order, so that the run is deterministic
+			if at, ok := running[call]; ok && now-at >= 20*ms {
+				c.Done(now, call, Sample{Latency: now - at})
+				delete(running, call)
+			}
+		}
+		start := func(call mesh.CallID) {
+			if len(running) >= slots {
+				c.Done(now, call, Sample{Latency: ms, Result: Shed})
+				return
+			}
+			running[call] = now
+		}
+		for range 3 {
+			id++
+			if d, _ := c.Arrive(now, Request{Call: id, Class: mesh.ClassCritical, Deadline: now + 50*ms}); d == Run {
+				start(id)
+			}
+		}
+		for step, ok := c.Next(now); ok; step, ok = c.Next(now) {
+			if step.Decision == Run {
+				start(step.Call)
+			}
+		}
+	}
+	if l := c.Load(4 * time.Second); l.Limit < 45 {
+		t.Fatalf("limit %d of 50 slots 2 s after they came back", l.Limit)
+	}
+}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -15,7 +15,7 @@
 	maxBlind        = 3   // doublings of the limit before the first base
 	settleTimes     = 2   // latencies until a sample is free of bias to calls that end early
 	maxVerify       = 100 // samples after which a verification is decided in any case
-	verifyFactor    = 0.7 // limit during a verification, of the limit before
+	verifyFactor    = 0.8 // limit during a verification, of the limit before
 	growBelow       = 1.1 // own time over base up to which the limit grows
 	verifyAbove     = 1.3 // own time over base from which congestion is verified
 	kneeMargin      = 1.1 // limit over the estimated knee, keeps the slots busy
@@ -199,8 +199,8 @@
 		l.rebase(mean, deviation)
 	}
 	l.grew = false
-	if l.proven > 0 && l.win.shed == 0 && float64(l.win.peak) >= math.Floor(l.limit) {
-		l.proven = l.limit
+	if l.proven > 0 && l.win.shed == 0 {
+		l.proven = max(l.proven, min(float64(l.win.peak), l.limit))
 	}
 	congested := mean-significance*deviation > verifyAbove*l.base
 	held := l.win.blocked && l.limit < l.bound
@@ -216,7 +216,7 @@
 		l.clamp()
 	case l.limit > l.floor && (congested && l.suspected || held && now-l.heldSince >= l.recalibrate):
 		l.startVerify(now, mean)
-	case l.win.blocked && (l.proven == 0 || l.proven >= l.limit) && mean-deviation <= growBelow*l.base && now >= l.growAt:
+	case l.win.blocked && (l.proven == 0 || l.proven >= math.Floor(l.limit)) && mean-deviation <= growBelow*l.base && now >= l.growAt:
 		l.heldSince = now
 		l.grow()
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -186,9 +186,10 @@
 }
 
 // first returns the queued call to serve next, or none. Within a workspace it is
-// the newest if newest is set for the class, else the oldest.
-func (q *queue) first(newest *[mesh.NumClasses]bool) int32 {
-	for class := range q.heaps {
+// the newest if newest is set for the class, else the oldest. Classes more
+// important than from are left out.
+func (q *queue) first(newest *[mesh.NumClasses]bool, from mesh.Class) int32 {
+	for class := int(from); class < mesh.NumClasses; class++ {
 		if q.waiting[class] == 0 {
 			continue
 		}
--- a/internal/admission/scenario_test.go
+++ b/internal/admission/scenario_test.go
@@ -34,6 +34,7 @@
 	{name: "greedy", demand: 0.8, greedy: 5},
 	{name: "cold-start", demand: 0.5, slow: warmingUp, cold: true, endsAt: from + 2*time.Second},
 	{name: "oscillation", demand: 0.7, surge: 2.2},
+	{name: "fewer-slots", demand: 0.7, slots: func(time.Duration) float64 { return 0.4 }},
 }
 
 // variants change what the controller can know of the upstreams.
