--- a/internal/admission/scenario_test.go
+++ b/internal/admission/scenario_test.go
@@ -30,7 +30,7 @@
 var scenarios = []scenario{
 	{name: "surge", demand: 0.7, surge: 3},
 	{name: "deep-slow", demand: 0.7, slow: fiveTimesSlower},
-	{name: "retry-storm", demand: 0.7, surge: 1.5, retries: 3},
+	{name: "retry-storm", demand: 0.7, surge: 2, retries: 3},
 	{name: "greedy", demand: 0.8, greedy: 5},
 	{name: "cold-start", demand: 0.5, slow: warmingUp, cold: true, endsAt: from + 2*time.Second},
 	{name: "oscillation", demand: 0.7, surge: 2.2},
