--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -233,6 +233,7 @@
 	kind := timeline.Left
 	if is {
 		kind = timeline.Joined
+		n.admission.Restarted(now) // the upstream may start cold
 	}
 	n.recordEvent(now, timeline.Event{Kind: kind, Service: ev.Service, Value: int64(n.cfg.Self.Node.Incarnation)})
 }
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -210,11 +210,12 @@
 // mayRetryAnswer reports whether an error answer of an upstream is discarded in
 // favour of another attempt.
 func (n *Node) mayRetryAnswer(now time.Duration, c *call, ev *Answered) bool {
+	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, outcome.RanFailed)
 	if !ev.Replayable || c.redirected || n.cfg.Policy == admission.PolicyNone {
 		return false
 	}
-	v := n.decide(now, c, outcome.Refusal{Execution: outcome.RanFailed, Reason: outcome.UpstreamFailed})
+	v := n.decide(now, c, outcome.Refusal{Execution: outcome.RanFailed, Reason: outcome.UpstreamFailed}, earlier)
 	return v.Retry
 }
 
@@ -310,27 +311,25 @@
 	if c.target == n.cfg.Self.Node || c.phase == waitsForPeer {
 		n.endAttempt(now, c, refusalResult(r))
 	}
+	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, r.Execution)
-	r.Execution = c.ranAs
 	if c.redirected || c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
+		r.Execution = c.ranAs
 		n.fail(now, c, r)
 		return
 	}
-	v := n.decide(now, c, r)
+	v := n.decide(now, c, r, earlier)
 	if v.Retry {
 		n.retryLater(now, c, v.Wait)
 		return
 	}
-	if v.Final.Reason == outcome.None {
-		v.Final = r
-	}
 	v.Final.Execution = c.ranAs
 	n.fail(now, c, n.named(v.Final))
 }
 
-func (n *Node) decide(now time.Duration, c *call, r outcome.Refusal) retry.Verdict {
+func (n *Node) decide(now time.Duration, c *call, r outcome.Refusal, earlier outcome.Execution) retry.Verdict {
 	return retry.Decide(retry.Attempt{
-		Refusal: r, Idempotent: c.idempotent, Now: now, Deadline: c.deadline,
+		Refusal: r, Earlier: earlier, Idempotent: c.idempotent, Now: now, Deadline: c.deadline,
 		Pool: c.budget(), Ratio: c.ratio,
 	})
 }
