--- /dev/null
+++ b/internal/config/fold.go
@@ -0,0 +1,325 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/mesh"
+)
+
+// VerdictKind tells what the fold made of a record.
+type VerdictKind uint8
+
+// The kinds of verdicts.
+const (
+	// Accepted: the record took effect.
+	Accepted VerdictKind = iota
+	// Duplicate: the token, or the offset, was folded before.
+	Duplicate
+	// Conflict: the record was made on a version that has changed since.
+	Conflict
+	// Invalid: the record is malformed, too late, or its result would be invalid.
+	Invalid
+	// Gap: records before this one are missing. Nothing was folded.
+	Gap
+)
+
+var verdictNames = []string{"accepted", "duplicate", "conflict", "invalid", "gap"}
+
+// String returns the name of the kind.
+func (k VerdictKind) String() string {
+	if int(k) < len(verdictNames) {
+		return verdictNames[k]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(k))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k VerdictKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *VerdictKind) UnmarshalText(text []byte) error {
+	i := slices.Index(verdictNames, string(text))
+	if i < 0 {
+		return fmt.Errorf("verdict %q does not exist", text)
+	}
+	*k = VerdictKind(i)
+	return nil
+}
+
+// Verdict is the result of folding one record. Every node reaches the same.
+type Verdict struct {
+	Kind VerdictKind `json:"kind"`
+	// Object names what conflicts: a key of a declared object, "panel", "shares
+	// WORKSPACE" or "node NODE".
+	Object string `json:"object,omitempty"`
+	// Offset and Token name the conflicting record, or the first copy of a
+	// duplicate. The token is zero if that record is more than Window behind.
+	Offset uint64 `json:"offset,omitempty"`
+	Token  Token  `json:"token,omitzero"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// String formats the verdict for an operator.
+func (v Verdict) String() string {
+	var b strings.Builder
+	b.WriteString(v.Kind.String())
+	if v.Object != "" {
+		fmt.Fprintf(&b, " on [%s]", v.Object)
+	}
+	if v.Token != (Token{}) {
+		fmt.Fprintf(&b, " with record %d, token %s", v.Offset, v.Token)
+	}
+	if v.Reason != "" {
+		b.WriteString(": " + v.Reason)
+	}
+	return b.String()
+}
+
+func conflict(object string, with version, reason string) Verdict {
+	return Verdict{Kind: Conflict, Object: object, Offset: with.Offset, Token: with.Token, Reason: reason}
+}
+
+func invalid(format string, args ...any) Verdict {
+	return Verdict{Kind: Invalid, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Fold folds the record at offset, which must be Offset(). A record below it is
+// a Duplicate and one above it a Gap; both leave the state as it is.
+func (s *State) Fold(offset uint64, data []byte) Verdict {
+	if offset < s.next {
+		return Verdict{Kind: Duplicate, Offset: offset, Reason: "offset was folded before"}
+	}
+	if offset > s.next {
+		return Verdict{Kind: Gap, Reason: fmt.Sprintf("record %d came before record %d", offset, s.next)}
+	}
+	s.next++
+	s.recent.forget(offset)
+	r, err := decodeRecord(data)
+	if err != nil {
+		return invalid("%v", err)
+	}
+	if e, seen := s.recent.tokens[r.Token]; seen {
+		return Verdict{Kind: Duplicate, Offset: e.offset, Token: r.Token}
+	}
+	if offset < r.After || offset-r.After > Window {
+		return invalid("record was made at offset %d and may not land at %d", r.After, offset)
+	}
+	v := s.apply(version{offset, r.Token}, r)
+	s.recent.addToken(r.Token, offset, v)
+	if v.Kind == Accepted {
+		s.chain(data)
+	}
+	return v
+}
+
+func (s *State) apply(source version, r *record) Verdict {
+	switch r.Kind {
+	case KindChange:
+		return s.foldChange(source, r.Change)
+	case KindKeyIssued:
+		return s.foldKeyIssued(r.KeyIssued)
+	case KindKeyWithdrawn:
+		return s.foldKeyWithdrawn(source, r.KeyWithdrawn.ID)
+	case KindNodeJoined:
+		return s.foldNodeJoined(source, *r.NodeJoined)
+	case KindNodeLeft:
+		return s.foldNodeLeft(source, r.NodeLeft)
+	case KindPanel:
+		return s.foldPanel(source, r.Panel)
+	case KindPanelSettled:
+		return s.foldPanelSettled(source, r.PanelSettled.Epoch)
+	}
+	return s.foldShares(source, r.Shares)
+}
+
+func (s *State) foldChange(source version, c *changeBody) Verdict {
+	changes := make([]declaration.Change, len(c.Changes))
+	for i, oc := range c.Changes {
+		if v := s.checkVersion(oc); v.Kind != Accepted {
+			return v
+		}
+		if reason := s.checkKeysOf(oc.Change); reason != "" {
+			return Verdict{Kind: Invalid, Object: oc.Key, Reason: reason}
+		}
+		changes[i] = oc.Change
+	}
+	if err := s.set.Apply(changes); err != nil {
+		return invalid("%v", err)
+	}
+	for _, oc := range c.Changes {
+		if oc.Set != nil {
+			s.versions[oc.Key] = source
+			continue
+		}
+		delete(s.versions, oc.Key)
+		s.recent.addDeleted(oc.Key, source)
+		s.dropShares(source, oc.Key)
+	}
+	s.revision, s.changed = source.Offset, true
+	return Verdict{}
+}
+
+// checkVersion compares the version a change was made on with the present one.
+// An absent object has no version of its own: whether it was deleted or never
+// existed makes no difference to a plan that creates it.
+func (s *State) checkVersion(oc ObjectChange) Verdict {
+	now, exists := s.versions[oc.Key]
+	if exists && now.number() == oc.Version || !exists && oc.Version == 0 {
+		return Verdict{}
+	}
+	if exists {
+		return conflict(oc.Key, now, "object has changed since the plan")
+	}
+	return conflict(oc.Key, s.recent.deleted[oc.Key], "object was deleted since the plan")
+}
+
+// checkKeysOf refuses to delete a workspace that still has keys: they would
+// become valid again if another workspace of that name were declared.
+func (s *State) checkKeysOf(c declaration.Change) string {
+	name, isWorkspace := strings.CutPrefix(c.Key, "workspace ")
+	if n := s.keyCount[mesh.Workspace(name)]; isWorkspace && c.Set == nil && n > 0 {
+		return fmt.Sprintf("workspace has %d keys that are not withdrawn", n)
+	}
+	return ""
+}
+
+func (s *State) dropShares(source version, object string) {
+	name, isWorkspace := strings.CutPrefix(object, "workspace ")
+	ws := mesh.Workspace(name)
+	if st := s.shares[ws]; isWorkspace && st != nil {
+		s.recent.addOldShares(ws, st.source, source.Offset)
+		delete(s.shares, ws)
+	}
+}
+
+func (s *State) foldKeyIssued(b *keyIssuedBody) Verdict {
+	k, err := b.key()
+	if err != nil {
+		return invalid("%v", err)
+	}
+	if _, used := s.Key(k.ID); used {
+		return invalid("key id %q is in use or was withdrawn", k.ID)
+	}
+	declared, ok := s.set.Workspace(k.Workspace)
+	if !ok {
+		return invalid("workspace %q of key %q is not declared", k.Workspace, k.ID)
+	}
+	k.Workspace = declared.Name // shares the memory of the name
+	s.keys[k.ID] = k
+	s.keyCount[k.Workspace]++
+	return Verdict{}
+}
+
+// foldKeyWithdrawn accepts a withdrawal in any case: it needs no order against
+// others, and one that comes before the issue of its key must hold.
+func (s *State) foldKeyWithdrawn(source version, id string) Verdict {
+	if _, again := s.recent.withdrawn[id]; again {
+		return Verdict{}
+	}
+	if k, exists := s.keys[id]; exists {
+		s.keyCount[k.Workspace]--
+		if s.keyCount[k.Workspace] == 0 {
+			delete(s.keyCount, k.Workspace)
+		}
+		delete(s.keys, id)
+	}
+	s.recent.addWithdrawn(id, source)
+	return Verdict{}
+}
+
+// foldNodeJoined replaces an earlier incarnation of the host. A late record of
+// that earlier incarnation is refused, so that it cannot return.
+func (s *State) foldNodeJoined(source version, m mesh.Member) Verdict {
+	if d, gone := s.recent.departed[m.Node]; gone {
+		return conflict("node "+m.Node.String(), d.Source, "node has left or was replaced")
+	}
+	if old, ok := s.members[m.Node.Host]; ok && old.member.Node != m.Node {
+		s.recent.addDeparted(departure{Node: old.member.Node, Source: source})
+	}
+	s.members[m.Node.Host] = memberState{m, source}
+	return Verdict{}
+}
+
+// foldNodeLeft keeps the first successor that is named for a node.
+func (s *State) foldNodeLeft(source version, b *nodeLeftBody) Verdict {
+	if d, gone := s.recent.departed[b.Node]; gone && !d.Successor.IsZero() {
+		return conflict("node "+b.Node.String(), d.Source, "node has left with successor "+d.Successor.String())
+	}
+	if m, ok := s.members[b.Node.Host]; ok && m.member.Node == b.Node {
+		delete(s.members, b.Node.Host)
+	}
+	s.recent.addDeparted(departure{Node: b.Node, Successor: b.Successor, Source: source})
+	return Verdict{}
+}
+
+func (s *State) foldPanel(source version, b *panelBody) Verdict {
+	if !s.panel.Settled {
+		return conflict("panel", s.panelBy, fmt.Sprintf("panel %d is not settled", s.panel.Epoch))
+	}
+	if b.Epoch != s.panel.Epoch+1 {
+		return conflict("panel", s.panelBy, fmt.Sprintf("the next panel is %d, not %d", s.panel.Epoch+1, b.Epoch))
+	}
+	s.panel = Panel{
+		Epoch:    b.Epoch,
+		Offset:   source.Offset,
+		Members:  b.Members,
+		Previous: s.panel.Members,
+		Settled:  len(s.panel.Members) == 0, // the first panel replaces none
+	}
+	s.panelBy = source
+	return Verdict{}
+}
+
+func (s *State) foldPanelSettled(source version, epoch uint64) Verdict {
+	if epoch != s.panel.Epoch || s.panel.Settled {
+		return conflict("panel", s.panelBy, fmt.Sprintf("panel %d does not wait to be settled", epoch))
+	}
+	s.panel.Settled = true
+	s.panel.Previous = nil
+	s.panelBy = source
+	return Verdict{}
+}
+
+func (s *State) foldShares(source version, b *sharesBody) Verdict {
+	declared, ok := s.set.Workspace(b.Workspace)
+	if !ok {
+		return invalid("workspace %q of the shares is not declared", b.Workspace)
+	}
+	ws := declared.Name
+	if now := s.SharesEpoch(ws); now != b.Epoch {
+		return conflict("shares "+string(ws), s.sharesSource(ws), fmt.Sprintf("shares were made on epoch %d, present is %d", b.Epoch, now))
+	}
+	next := &sharesState{source: source, shares: make([]Share, len(b.Holders))}
+	for i, holder := range b.Holders {
+		next.shares[i] = s.nextShare(source, ws, i, len(b.Holders), holder)
+	}
+	s.shares[ws] = next
+	return Verdict{}
+}
+
+func (s *State) sharesSource(ws mesh.Workspace) version {
+	if st := s.shares[ws]; st != nil {
+		return st.source
+	}
+	return s.recent.oldShares[ws].source
+}
+
+// nextShare keeps a share whose holder and size stay as they are.
+func (s *State) nextShare(source version, ws mesh.Workspace, index, count int, holder mesh.NodeID) Share {
+	next := Share{
+		Workspace: ws, Index: index, Count: count, Holder: holder,
+		Epoch: source.number(), Offset: source.Offset, First: s.SharesEpoch(ws) == 0,
+	}
+	st := s.shares[ws]
+	if st == nil || len(st.shares) != count {
+		return next
+	}
+	if st.shares[index].Holder == holder {
+		return st.shares[index]
+	}
+	next.Predecessor = st.shares[index].Holder
+	return next
+}
--- /dev/null
+++ b/internal/config/plan.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"cardamomhatch/internal/declaration"
+)
+
+// ObjectChange is a change of one object together with the version it was made
+// on.
+type ObjectChange struct {
+	declaration.Change
+	Version uint64 `json:"version"` // 0: the object did not exist
+}
+
+// PlanDocument is what an operator reads and confirms.
+type PlanDocument struct {
+	BaseRevision uint64         `json:"base_revision"`
+	Changes      []ObjectChange `json:"changes"`
+	Diff         string         `json:"diff"`
+	Digest       string         `json:"digest"` // SHA-256 of the other fields
+}
+
+// ErrPlanDigest means that a plan is not the document that was handed out.
+var ErrPlanDigest = errors.New("plan does not match its digest")
+
+// ErrPlanEmpty means that a plan changes nothing.
+var ErrPlanEmpty = errors.New("plan changes nothing")
+
+// Plan returns what turns the present mesh into want. A plan without changes is
+// not an error here.
+func Plan(s *State, want *declaration.Mesh) (PlanDocument, error) {
+	if err := want.Check(); err != nil {
+		return PlanDocument{}, err
+	}
+	doc := PlanDocument{BaseRevision: s.revision, Changes: []ObjectChange{}}
+	var diff strings.Builder
+	for _, d := range declaration.Diff(s.Mesh(), want) {
+		c := ObjectChange{Change: declaration.Change{Key: d.Key, Set: d.New}, Version: s.Version(d.Key)}
+		if reason := s.checkKeysOf(c.Change); reason != "" {
+			return PlanDocument{}, fmt.Errorf("delete [%s]: %s", d.Key, reason)
+		}
+		doc.Changes = append(doc.Changes, c)
+		diff.WriteString(d.String())
+	}
+	doc.Diff = diff.String()
+	digest, err := doc.digest()
+	doc.Digest = digest
+	return doc, err
+}
+
+func (p PlanDocument) digest() (string, error) {
+	p.Digest = ""
+	data, err := json.Marshal(p)
+	if err != nil {
+		return "", fmt.Errorf("encode plan: %w", err)
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// NewChange returns the record that confirms a plan. The error is ErrPlanDigest
+// for an altered document and ErrPlanEmpty for one without changes.
+func NewChange(h Header, p PlanDocument) ([]byte, error) {
+	digest, err := p.digest()
+	if err != nil {
+		return nil, err
+	}
+	if digest != p.Digest {
+		return nil, ErrPlanDigest
+	}
+	if len(p.Changes) == 0 {
+		return nil, ErrPlanEmpty
+	}
+	return encode(h, KindChange, func(r *record) { r.Change = &changeBody{p.Changes} })
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,266 @@
+package config
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"maps"
+	"slices"
+
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	snapshotFormat = 1
+	// maxSnapshot bounds the uncompressed bytes that Restore reads.
+	maxSnapshot = 256 << 20
+)
+
+var errTrailing = errors.New("more data follows")
+
+// A snapshot is gzip of JSON lines, so that neither writing nor reading holds the
+// whole text in memory: a head, the entries, and the SHA-256 of all lines before.
+type snapshotLine struct {
+	Head      *snapshotHead      `json:"head,omitempty"`
+	Object    *snapshotObject    `json:"object,omitempty"`
+	Key       *keyIssuedBody     `json:"key,omitempty"`
+	Member    *snapshotMember    `json:"member,omitempty"`
+	Shares    *snapshotShares    `json:"shares,omitempty"`
+	Token     *snapshotToken     `json:"token,omitempty"`
+	Deleted   *snapshotTombstone `json:"deleted,omitempty"`
+	Withdrawn *snapshotTombstone `json:"withdrawn,omitempty"`
+	Departed  *departure         `json:"departed,omitempty"`
+	OldShares *snapshotTombstone `json:"old_shares,omitempty"`
+	Sum       string             `json:"sum,omitempty"`
+}
+
+type snapshotHead struct {
+	Format   int     `json:"format"`
+	Next     uint64  `json:"next"`
+	Revision uint64  `json:"revision"`
+	Changed  bool    `json:"changed"`
+	Digest   string  `json:"digest"`
+	Panel    Panel   `json:"panel"`
+	PanelBy  version `json:"panel_by"`
+}
+
+type snapshotObject struct {
+	Object  declaration.Object `json:"object"`
+	Version version            `json:"version"`
+}
+
+type snapshotMember struct {
+	Member mesh.Member `json:"member"`
+	Source version     `json:"source"`
+}
+
+type snapshotShares struct {
+	Workspace mesh.Workspace `json:"workspace"`
+	Source    version        `json:"source"`
+	Shares    []Share        `json:"shares"`
+}
+
+type snapshotToken struct {
+	Token   Token    `json:"token"`
+	Offset  uint64   `json:"offset"`
+	Verdict *Verdict `json:"verdict,omitempty"`
+}
+
+type snapshotTombstone struct {
+	Name    string  `json:"name"`
+	Version version `json:"version"`
+	Expires uint64  `json:"expires,omitempty"` // offset it was learnt at, if not Version.Offset
+}
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	var out bytes.Buffer
+	zip, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress snapshot: %w", err)
+	}
+	w := snapshotWriter{sum: sha256.New()}
+	w.encoder = json.NewEncoder(io.MultiWriter(zip, w.sum))
+	s.writeLines(&w)
+	w.line(snapshotLine{Sum: hex.EncodeToString(w.sum.Sum(nil))})
+	if err := cmp.Or(w.err, zip.Close()); err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// snapshotWriter keeps the first error.
+type snapshotWriter struct {
+	encoder *json.Encoder
+	sum     hash.Hash
+	err     error
+}
+
+func (w *snapshotWriter) line(l snapshotLine) {
+	if w.err == nil {
+		w.err = w.encoder.Encode(&l)
+	}
+}
+
+func (s *State) writeLines(w *snapshotWriter) {
+	w.line(snapshotLine{Head: &snapshotHead{
+		Format: snapshotFormat, Next: s.next, Revision: s.revision, Changed: s.changed,
+		Digest: s.Digest(), Panel: s.panel, PanelBy: s.panelBy,
+	}})
+	for _, o := range s.Mesh().Objects() {
+		w.line(snapshotLine{Object: &snapshotObject{o, s.versions[o.Key()]}})
+	}
+	for _, k := range s.Keys() {
+		w.line(snapshotLine{Key: &keyIssuedBody{k.ID, hex.EncodeToString(k.Hash[:]), k.Workspace}})
+	}
+	for _, host := range slices.Sorted(maps.Keys(s.members)) {
+		w.line(snapshotLine{Member: &snapshotMember{s.members[host].member, s.members[host].source}})
+	}
+	for _, ws := range slices.Sorted(maps.Keys(s.shares)) {
+		w.line(snapshotLine{Shares: &snapshotShares{ws, s.shares[ws].source, s.shares[ws].shares}})
+	}
+	s.recent.writeLines(w)
+}
+
+// writeLines writes the queue instead of the maps: it has the order in which
+// entries expire.
+func (r *recent) writeLines(w *snapshotWriter) {
+	for _, e := range r.queue {
+		switch {
+		case e.object != "":
+			if v := r.deleted[e.object]; v.Offset == e.offset {
+				w.line(snapshotLine{Deleted: &snapshotTombstone{Name: e.object, Version: v}})
+			}
+		case e.key != "":
+			w.line(snapshotLine{Withdrawn: &snapshotTombstone{Name: e.key, Version: r.withdrawn[e.key]}})
+		case !e.node.IsZero():
+			if d := r.departed[e.node]; d.Source.Offset == e.offset {
+				w.line(snapshotLine{Departed: &d})
+			}
+		case e.workspace != "":
+			if old := r.oldShares[e.workspace]; old.deleted == e.offset {
+				w.line(snapshotLine{OldShares: &snapshotTombstone{string(e.workspace), old.source, e.offset}})
+			}
+		default:
+			t := r.tokens[e.token]
+			w.line(snapshotLine{Token: &snapshotToken{e.token, e.offset, t.verdict}})
+		}
+	}
+}
+
+// Restore returns the state of a snapshot. It refuses one that is damaged,
+// incomplete or of another format.
+func Restore(data []byte) (*State, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("decompress snapshot: %w", err)
+	}
+	r := restorer{state: New(), sum: sha256.New()}
+	lines := bufio.NewReader(io.LimitReader(zip, maxSnapshot))
+	for !r.complete {
+		line, err := lines.ReadBytes('\n')
+		if err == nil {
+			err = r.line(line)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read snapshot: %w", err)
+		}
+	}
+	// Reading to the end also checks the trailer of the compressed form.
+	if _, err := lines.ReadByte(); err != io.EOF {
+		return nil, fmt.Errorf("snapshot does not end after its checksum: %w", cmp.Or(err, errTrailing))
+	}
+	if err := r.state.set.Apply(r.objects); err != nil {
+		return nil, fmt.Errorf("mesh of the snapshot: %w", err)
+	}
+	for _, k := range r.keys {
+		if v := r.state.foldKeyIssued(k); v.Kind != Accepted {
+			return nil, fmt.Errorf("key of the snapshot: %s", v)
+		}
+	}
+	return r.state, nil
+}
+
+type restorer struct {
+	state    *State
+	sum      hash.Hash
+	objects  []declaration.Change
+	keys     []*keyIssuedBody
+	started  bool
+	complete bool
+}
+
+func (r *restorer) line(text []byte) error {
+	var l snapshotLine
+	if err := json.Unmarshal(text, &l); err != nil {
+		return err
+	}
+	if l.Sum != "" {
+		r.complete = true
+		if got := hex.EncodeToString(r.sum.Sum(nil)); got != l.Sum {
+			return fmt.Errorf("checksum is %s, expected %s", got, l.Sum)
+		}
+		return nil
+	}
+	r.sum.Write(text)
+	if !r.started {
+		r.started = true
+		return r.head(l.Head)
+	}
+	r.entry(&l)
+	return nil
+}
+
+func (r *restorer) head(h *snapshotHead) error {
+	if h == nil {
+		return errors.New("head is missing")
+	}
+	if h.Format != snapshotFormat {
+		return fmt.Errorf("format %d is not %d", h.Format, snapshotFormat)
+	}
+	s := r.state
+	digest, err := hex.DecodeString(h.Digest)
+	if err != nil || len(digest) != len(s.digest) {
+		return fmt.Errorf("digest %q is malformed", h.Digest)
+	}
+	copy(s.digest[:], digest)
+	s.next, s.revision, s.changed = h.Next, h.Revision, h.Changed
+	s.panel, s.panelBy = h.Panel, h.PanelBy
+	return nil
+}
+
+func (r *restorer) entry(l *snapshotLine) {
+	s := r.state
+	switch {
+	case l.Object != nil:
+		key := l.Object.Object.Key()
+		r.objects = append(r.objects, declaration.Change{Key: key, Set: &l.Object.Object})
+		s.versions[key] = l.Object.Version
+	case l.Key != nil:
+		r.keys = append(r.keys, l.Key)
+	case l.Member != nil:
+		s.members[l.Member.Member.Node.Host] = memberState{l.Member.Member, l.Member.Source}
+	case l.Shares != nil:
+		s.shares[l.Shares.Workspace] = &sharesState{l.Shares.Source, l.Shares.Shares}
+	case l.Token != nil:
+		s.recent.tokens[l.Token.Token] = tokenEntry{l.Token.Offset, l.Token.Verdict}
+		s.recent.queue = append(s.recent.queue, expiry{offset: l.Token.Offset, token: l.Token.Token})
+	case l.Deleted != nil:
+		s.recent.addDeleted(l.Deleted.Name, l.Deleted.Version)
+	case l.Withdrawn != nil:
+		s.recent.addWithdrawn(l.Withdrawn.Name, l.Withdrawn.Version)
+	case l.Departed != nil:
+		s.recent.addDeparted(*l.Departed)
+	case l.OldShares != nil:
+		s.recent.addOldShares(mesh.Workspace(l.OldShares.Name), l.OldShares.Version, l.OldShares.Expires)
+	}
+}
--- a/internal/declaration/declaration_test.go
+++ b/internal/declaration/declaration_test.go
@@ -115,3 +115,10 @@
 		}
 	})
 }
+
+// Guards against a file without a name whose [mesh] section is not found.
+func TestParseUnnamedFile(t *testing.T) {
+	if m, err := Parse(File{Data: []byte("[mesh]\nname = m\n")}); err != nil || m.Name != "m" {
+		t.Fatalf("mesh %+v, error %v", m, err)
+	}
+}
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -41,7 +41,7 @@
 	if errors.As(err, &found) {
 		p.problems = merge(p.problems, p.locate(found))
 	}
-	if p.origin[HeaderKey] == "" && len(p.problems) == 0 {
+	if _, ok := p.origin[HeaderKey]; !ok && len(p.problems) == 0 {
 		p.problems = append(p.problems, inifile.Problem{Section: HeaderKey, Reason: "section is missing"})
 	}
 	if len(p.problems) > 0 {
@@ -150,6 +150,15 @@
 	return b.Bytes()
 }
 
+// Check returns every problem of a mesh that was not made by this package.
+func (m *Mesh) Check() error {
+	var changes []Change
+	for _, o := range m.Objects() {
+		changes = append(changes, Change{Key: o.Key(), Set: &o})
+	}
+	return NewSet().Apply(changes)
+}
+
 // Objects returns all objects of the mesh in canonical order.
 func (m *Mesh) Objects() []Object {
 	out := make([]Object, 0, 1+len(m.Services)+len(m.Routes)+len(m.Edges)+len(m.Workspaces))
--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -75,10 +75,10 @@
 	return Object{}, false
 }
 
-// HasWorkspace reports whether the workspace is declared.
-func (s *Set) HasWorkspace(ws mesh.Workspace) bool {
-	_, ok := s.workspaces[ws]
-	return ok
+// Workspace returns a declared workspace.
+func (s *Set) Workspace(name mesh.Workspace) (Workspace, bool) {
+	w, ok := s.workspaces[name]
+	return w, ok
 }
 
 // Apply makes all changes, or none if the result would not be a valid mesh. The
