--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+var valid = `[node]
+host = h1
+data_centre = dc1
+service = stock
+insecure_loopback = true
+[listen]
+callers = 127.0.0.1:7001
+local = 127.0.0.1:7002
+peers = 127.0.0.1:7003
+operators = [::1]:7004
+[log]
+address = http://127.0.0.1:9000
+[peers]
+seeds = 127.0.0.1:7003, 127.0.0.1:8003
+[operator]
+token_sha256 = ` + strings.Repeat("ab", 32) + "\n"
+
+// Guards against plain TCP beyond loopback and against a bad setting that is
+// accepted or refused without its place.
+func TestParse(t *testing.T) {
+	if s, err := Parse("n.ini", []byte(valid)); err != nil || len(s.Seeds) != 2 || s.OperatorTokenHash[31] != 0xab {
+		t.Fatalf("settings %+v, error %v", s, err)
+	}
+	cases := []struct{ old, new, want string }{
+		{"host = h1\n", "", "n.ini: [node] host: key is missing"},
+		{"host = h1", "hots = h1", "n.ini: [node] hots: unknown key"},
+		{"callers = 127.0.0.1", "callers = 10.0.0.1", "n.ini: [listen] callers: 10.0.0.1:7001 is not a loopback address"},
+		{"local = 127.0.0.1", "local = 10.0.0.1", "n.ini: [listen] local: 10.0.0.1:7002 is not a loopback address"},
+		{"peers = 127.0.0.1", "peers = localhost", `n.ini: [listen] peers: "localhost:7003" is not an IP address with a port`},
+		{"http://127.0.0.1", "http://10.0.0.1", "n.ini: [log] address: 10.0.0.1:9000 is not a loopback address"},
+		{"http://", "ftp://", "n.ini: [log] address: \"ftp://127.0.0.1:9000\" is not an http or https URL"},
+		{"127.0.0.1:8003", "10.0.0.1:8003", "n.ini: [peers] seeds: 10.0.0.1:8003 is not a loopback address"},
+		{"insecure_loopback = true", "", "n.ini: [log] address: plain http needs insecure_loopback"},
+		{"insecure_loopback = true", "", "n.ini: [tls]: section is missing"},
+		{"= abab", "= ab", "n.ini: [operator] token_sha256: value is not 64 hexadecimal digits"},
+		{"[log]", "[lag]", "n.ini: [lag]: unknown section"},
+		{"[peers]", "[log]", "n.ini: [log]: section is given twice"},
+	}
+	for _, c := range cases {
+		_, err := Parse("n.ini", []byte(strings.Replace(valid, c.old, c.new, 1)))
+		if err == nil || !strings.Contains("\n"+err.Error()+"\n", "\n"+c.want+"\n") {
+			t.Errorf("%q instead of %q: got\n%v\nwant %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+// Guards against settings that stop the process, or that permit plain TCP on an
+// address that is not on loopback.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("n.ini", data)
+		if err != nil {
+			return
+		}
+		if s.InsecureLoopback && !(s.Callers.Addr().IsLoopback() && s.Peers.Addr().IsLoopback() && s.Operators.Addr().IsLoopback()) {
+			t.Fatalf("plain TCP on %s, %s, %s", s.Callers, s.Peers, s.Operators)
+		}
+		if !s.InsecureLoopback && s.TLSCert == "" {
+			t.Fatal("neither TLS nor insecure_loopback")
+		}
+	})
+}
