--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -157,14 +157,12 @@
 	n.recordEvent(now, timeline.Event{Kind: kind})
 }
 
-// activateShares activates shares of this node whose assignment is in force.
+// activateShares activates shares of this node whose assignment is in force. An
+// earlier incarnation on this host is no exception: it may not have been in force
+// itself when the log gave its share to this one.
 func (n *Node) activateShares(now time.Duration) {
 	waiting := make(map[uint64]bool)
 	for _, s := range n.quota.Inactive() {
-		if n.inheritsFromOwnHost(s) {
-			n.quota.Activate(now, s.Workspace, s.Index)
-			continue
-		}
 		waiting[s.Offset] = true
 		n.evidence.Watch(s.Offset)
 		if n.evidence.Effective(now, s.Offset) {
@@ -179,13 +177,6 @@
 	n.control.watched = waiting
 }
 
-// inheritsFromOwnHost reports whether an earlier incarnation on this host held
-// the share. A host has one slot for a node, so that one has ended.
-func (n *Node) inheritsFromOwnHost(s quota.Share) bool {
-	shares := n.state.Shares(s.Workspace)
-	return s.Index < len(shares) && shares[s.Index].Predecessor.Host == n.cfg.Self.Node.Host
-}
-
 func (n *Node) deliver(now time.Duration, e mesh.Envelope) {
 	delete(n.control.unreachable, e.From)
 	switch m := e.Message.(type) {
