--- a/internal/engine/capacity_test.go
+++ b/internal/engine/capacity_test.go
@@ -254,31 +254,41 @@
 	t.bytes[e.Message.MessageName()] += t.written - before
 }
 
+func trafficName(nodes, calls int) string {
+	if calls < 0 {
+		return fmt.Sprintf("nodes=%d/log-down", nodes)
+	}
+	return fmt.Sprintf("nodes=%d/calls=%d", nodes, calls)
+}
+
 // BenchmarkControlTraffic reports control messages and bytes that a node sends
-// in a second, at rest and under load.
+// in a second: at rest, with calls per second at every node, and at rest with the
+// log down.
 func BenchmarkControlTraffic(b *testing.B) {
 	for _, nodes := range []int{15, 60, 120} {
-		for _, calls := range []int{0, 20} {
-			b.Run(fmt.Sprintf("nodes=%d/calls=%d", nodes, calls), func(b *testing.B) {
+		for _, calls := range []int{0, 20, -1} {
+			b.Run(trafficName(nodes, calls), func(b *testing.B) {
 				services := make([]mesh.Service, nodes)
 				for i := range services {
 					services[i] = "shop"
 				}
 				c := newCluster(b, 1, benchMesh, services...)
 				c.run(10 * time.Second)
+				c.logDown = calls < 0
+				c.run(5 * time.Second)
 				const seconds = 5
 				t := &traffic{messages: map[string]int{}, bytes: map[string]int{}, encoders: map[[2]mesh.NodeID]*gob.Encoder{}}
 				for b.Loop() {
 					c.run(2 * time.Second) // type descriptions of new connections
 					t.messages, t.bytes = map[string]int{}, map[string]int{}
 					c.sent = t.count
-					for range seconds * calls {
+					for range seconds * max(calls, 0) {
 						for _, n := range c.order {
 							c.call(n, "anna", "GET", "/items/1", "")
 						}
 						c.run(time.Second / time.Duration(calls))
 					}
-					if calls == 0 {
+					if calls <= 0 {
 						c.run(seconds * time.Second)
 					}
 				}
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -169,10 +170,11 @@
 	n.emit(Effect{Kind: Decided, AppendID: string(id), Decision: d})
 }
 
-// retryWithdrawals writes pending withdrawals to the log when it is back. One
-// node does it for those whose first node is gone.
+// retryWithdrawals writes pending withdrawals to the log when it is back, or when
+// only the node that the operator asked cannot reach it. Every member of the panel
+// does so: a node that has only the log to rely on learns of them there.
 func (n *Node) retryWithdrawals(now time.Duration) {
-	if now < n.control.nextWithdrawal || n.control.logDown || len(n.keys.Pending()) == 0 || !n.assigns("withdrawals") {
+	if now < n.control.nextWithdrawal || n.control.logDown || len(n.keys.Pending()) == 0 || !n.inPanel() {
 		return
 	}
 	n.control.nextWithdrawal = now + reappendInterval
@@ -181,6 +183,8 @@
 	}
 }
 
+func (n *Node) inPanel() bool { return slices.Contains(n.state.Panel().Members, n.cfg.Self.Node) }
+
 func (n *Node) isPending(id keys.ID) bool {
 	for _, other := range n.keys.Pending() {
 		if other == id {
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -25,7 +25,10 @@
 	maxUncovered      = 4  // answers per member kept until this node catches up
 	maxCovered        = 64 // digests of withdrawal sets known to be held here
 	maxWatches        = 1024
-	relaysAsked       = 2
+	// While the log answers, its own evidence is enough and nobody is probed. The
+	// rest of FreshFor is for a probe and its answer after the log goes down.
+	logPatience = FreshFor * 3 / 5
+	relaysAsked = 2
 )
 
 const never = time.Duration(-1 << 62)
--- a/internal/evidence/messages.go
+++ b/internal/evidence/messages.go
@@ -57,6 +57,9 @@
 		return out
 	}
 	t.nextProbe = now + t.cfg.ProbeEvery
+	if now < t.log.at+logPatience && !t.awaitsAcknowledgements() {
+		return out
+	}
 	if t.probesPanel(now) {
 		return t.probe(now, t.panelNodes(), false, out)
 	}
@@ -74,9 +77,10 @@
 	if len(t.relays) == 0 || slices.Contains(t.relays, t.self) || t.members[t.self.Host] != nil {
 		return true
 	}
-	if now > t.date()+relayPatience {
-		return true
-	}
+	return now > t.date()+relayPatience || t.awaitsAcknowledgements()
+}
+
+func (t *Tracker) awaitsAcknowledgements() bool {
 	for _, w := range t.watches {
 		if w.reached == never {
 			return true
