--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -207,7 +207,7 @@
 		n.foldMember(now, host)
 	}
 	n.applyMembers(now)
-	n.evidence.SetRelays(n.relays())
+	n.evidence.SetRelays(relaysOf(n.cfg.Self, n.control.folded))
 }
 
 func (n *Node) foldAllMembers(now time.Duration) {
@@ -249,35 +249,6 @@
 	}
 }
 
-// Evidence and pending withdrawals reach a large fleet through a few relays in
-// each data centre, so that the panel's work does not grow with the fleet.
-const (
-	relayFleet = 64 // members from which relays are used
-	relayCount = 3  // relays in each data centre
-)
-
-// relays returns the relays of this node's data centre, or none in a small
-// fleet, where every node asks the panel itself.
-func (n *Node) relays() []mesh.NodeID {
-	if len(n.control.folded) < relayFleet {
-		return nil
-	}
-	best := make([]mesh.Member, 0, relayCount+1)
-	for _, m := range n.control.folded {
-		if m.DataCentre != n.cfg.Self.DataCentre {
-			continue
-		}
-		best = append(best, m)
-		slices.SortFunc(best, byRank("relay"))
-		best = best[:min(len(best), relayCount)]
-	}
-	nodes := make([]mesh.NodeID, len(best))
-	for i, m := range best {
-		nodes[i] = m.Node
-	}
-	return nodes
-}
-
 func (n *Node) applyMembers(now time.Duration) {
 	for _, service := range n.members.Changed() {
 		n.routing.SetMembers(now, service, n.members.Service(service))
--- /dev/null
+++ b/internal/engine/relay_test.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"testing"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// maxAskers bounds the nodes that ask one relay. Each asks two of three relays
+// twice a second, and an answer has 66 bytes, so 100 askers take 8.8 KB/s of the
+// 9 KB/s that a node may use for control.
+const maxAskers = 100
+
+// Guards against a relay whose work grows with the fleet, and against a node
+// that no path of relays connects to the panel.
+func TestRelaysSpreadOverALargeFleet(t *testing.T) {
+	f := fleet{nodes: 25_000, services: 2_700}
+	for i := range f.nodes {
+		f.members = append(f.members, f.member(i))
+	}
+	asks := map[mesh.NodeID][]mesh.NodeID{}
+	askers := map[mesh.NodeID]int{}
+	for _, m := range f.members {
+		if m.DataCentre != "dc-00" && m.DataCentre != "dc-07" {
+			continue // the others are alike, and each node scans the fleet
+		}
+		asks[m.Node] = relaysOf(m, f.members)
+		for _, relay := range asks[m.Node] {
+			askers[relay]++
+		}
+	}
+	for relay, count := range askers {
+		if count > maxAskers {
+			t.Errorf("relay %s is asked by %d nodes", relay, count)
+		}
+	}
+	for node := range asks {
+		hops := 0
+		for at := node; !contains(asks[at], at); at = asks[at][0] {
+			if hops++; hops > 2 {
+				t.Fatalf("node %s is more than two relays from the panel", node)
+			}
+		}
+	}
+}
+
+func contains(nodes []mesh.NodeID, node mesh.NodeID) bool {
+	for _, n := range nodes {
+		if n == node {
+			return true
+		}
+	}
+	return false
+}
