--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -41,7 +41,7 @@
 	if errors.As(err, &found) {
 		p.problems = merge(p.problems, p.locate(found))
 	}
-	if p.origin[HeaderKey] == "" && len(p.problems) == 0 {
+	if _, ok := p.origin[HeaderKey]; !ok && len(p.problems) == 0 {
 		p.problems = append(p.problems, inifile.Problem{Section: HeaderKey, Reason: "section is missing"})
 	}
 	if len(p.problems) > 0 {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -11,7 +11,6 @@
 	"cardamomhatch/internal/membership"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/quota"
-	"cardamomhatch/internal/ticket"
 	"cardamomhatch/internal/timeline"
 )
 
@@ -134,6 +133,7 @@
 func (n *Node) controlTick(now time.Duration) {
 	n.envelopes = n.evidence.Tick(now, n.envelopes)
 	n.envelopes = n.members.Tick(now, n.envelopes)
+	n.envelopes = n.tickets.Tick(now, n.envelopes)
 	n.evidenceChanged(now)
 	n.activateShares(now)
 	n.applyMembers(now)
@@ -164,14 +164,12 @@
 	n.recordEvent(now, timeline.Event{Kind: kind})
 }
 
-// activateShares activates shares of this node whose assignment is in force.
+// activateShares activates shares of this node whose assignment is in force. An
+// earlier incarnation on this host is no exception: it may not have been in force
+// itself when the log gave its share to this one.
 func (n *Node) activateShares(now time.Duration) {
 	waiting := make(map[uint64]bool)
 	for _, s := range n.quota.Inactive() {
-		if n.inheritsFromOwnHost(s) {
-			n.quota.Activate(now, s.Workspace, s.Index)
-			continue
-		}
 		waiting[s.Offset] = true
 		n.evidence.Watch(s.Offset)
 		if n.evidence.Effective(now, s.Offset) {
@@ -186,13 +184,6 @@
 	n.control.watched = waiting
 }
 
-// inheritsFromOwnHost reports whether an earlier incarnation on this host held
-// the share. A host has one slot for a node, so that one has ended.
-func (n *Node) inheritsFromOwnHost(s quota.Share) bool {
-	shares := n.state.Shares(s.Workspace)
-	return s.Index < len(shares) && shares[s.Index].Predecessor.Host == n.cfg.Self.Node.Host
-}
-
 func (n *Node) deliver(now time.Duration, e mesh.Envelope) {
 	delete(n.control.unreachable, e.From)
 	switch m := e.Message.(type) {
@@ -209,8 +200,6 @@
 		n.post(e.From, DrainReply(m))
 	case DrainReply:
 		n.drainConfirmed(e.From, m.Token)
-	case ticket.Handover:
-		n.acceptHandover(now, m)
 	default:
 		n.deliverToSlices(now, e)
 	}
@@ -221,6 +210,7 @@
 	n.envelopes = n.evidence.Deliver(now, e.From, e.Message, n.envelopes)
 	n.envelopes = n.quota.Deliver(now, e.From, e.Message, n.envelopes)
 	n.envelopes = n.members.Deliver(now, e.From, e.Message, n.envelopes)
+	n.envelopes = n.tickets.Deliver(now, e.From, e.Message, n.envelopes)
 	fresh, n.envelopes = n.keys.Deliver(n.cfg.Self.Node, e.From, e.Message, n.envelopes)
 	for _, id := range fresh {
 		n.withdrawalLearned(now, id)
@@ -233,13 +223,6 @@
 	n.envelopes = append(n.envelopes, mesh.Envelope{From: n.cfg.Self.Node, To: to, Message: m})
 }
 
-func (n *Node) acceptHandover(now time.Duration, h ticket.Handover) {
-	if err := n.tickets.Accept(now, h); err != nil {
-		return
-	}
-	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
-}
-
 func (n *Node) announced(now time.Duration, ev *UpstreamAnnounced) {
 	was := n.members.Local(now).Serving
 	n.members.Announced(now, membership.Announcement{
@@ -253,6 +236,7 @@
 	kind := timeline.Left
 	if is {
 		kind = timeline.Joined
+		n.admission.Restarted(now) // the upstream may start cold
 	}
 	n.recordEvent(now, timeline.Event{Kind: kind, Service: ev.Service, Value: int64(n.cfg.Self.Node.Incarnation)})
 }
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -32,6 +32,7 @@
 		n.beginTicket(now, c)
 		return
 	}
+	c.serving = true
 	n.serve(now, c)
 }
 
@@ -209,11 +210,12 @@
 // mayRetryAnswer reports whether an error answer of an upstream is discarded in
 // favour of another attempt.
 func (n *Node) mayRetryAnswer(now time.Duration, c *call, ev *Answered) bool {
+	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, outcome.RanFailed)
 	if !ev.Replayable || c.redirected || n.cfg.Policy == admission.PolicyNone {
 		return false
 	}
-	v := n.decide(now, c, outcome.Refusal{Execution: outcome.RanFailed, Reason: outcome.UpstreamFailed})
+	v := n.decide(now, c, outcome.Refusal{Execution: outcome.RanFailed, Reason: outcome.UpstreamFailed}, earlier)
 	return v.Retry
 }
 
@@ -272,9 +274,9 @@
 			ticket.Answer{Status: a.Status, Header: a.Header, Body: a.Body}))
 		return
 	}
-	r := outcome.Refusal{Execution: outcome.Ran, Reason: outcome.AnswerNotStored, Node: string(n.cfg.Self.Node.Host)}
+	r := n.refusal(outcome.Ran, outcome.AnswerNotStored, 0)
 	if !ev.Whole {
-		r.Execution, r.Reason = outcome.RanFailed, outcome.AnswerCut
+		r = n.refusal(outcome.RanFailed, outcome.AnswerCut, 0)
 	}
 	n.resumeWaiting(now, n.tickets.Failed(now, c.ticket, r))
 }
@@ -284,7 +286,11 @@
 	if c == nil || c.attempt != ev.Attempt {
 		return
 	}
-	r := outcome.Refusal{Execution: ev.Execution, Reason: ev.Reason, Node: string(n.cfg.Self.Node.Host)}
+	r := n.refusal(ev.Execution, ev.Reason, 0)
+	if c.redirected {
+		// An earlier call with this ticket may have run at its owner.
+		r = n.refusal(outcome.MayHaveRun, outcome.TicketOwnerGone, 0)
+	}
 	switch c.phase {
 	case waitsForUpstream:
 		n.runOver(now, c, admission.Failed)
@@ -305,27 +311,25 @@
 	if c.target == n.cfg.Self.Node || c.phase == waitsForPeer {
 		n.endAttempt(now, c, refusalResult(r))
 	}
+	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, r.Execution)
-	r.Execution = c.ranAs
-	if c.redirected || (c.origin == fromNode && c.ticket == "") || !replayable || n.cfg.Policy == admission.PolicyNone {
+	if c.redirected || c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
+		r.Execution = c.ranAs
 		n.fail(now, c, r)
 		return
 	}
-	v := n.decide(now, c, r)
+	v := n.decide(now, c, r, earlier)
 	if v.Retry {
 		n.retryLater(now, c, v.Wait)
 		return
 	}
-	if v.Final.Reason == outcome.None {
-		v.Final = r
-	}
 	v.Final.Execution = c.ranAs
 	n.fail(now, c, n.named(v.Final))
 }
 
-func (n *Node) decide(now time.Duration, c *call, r outcome.Refusal) retry.Verdict {
+func (n *Node) decide(now time.Duration, c *call, r outcome.Refusal, earlier outcome.Execution) retry.Verdict {
 	return retry.Decide(retry.Attempt{
-		Refusal: r, Idempotent: c.idempotent, Now: now, Deadline: c.deadline,
+		Refusal: r, Earlier: earlier, Idempotent: c.idempotent, Now: now, Deadline: c.deadline,
 		Pool: c.budget(), Ratio: c.ratio,
 	})
 }
@@ -415,8 +419,7 @@
 		return
 	}
 	if c.ownsTicket {
-		c.detached = true
-		return
+		return // runs on, so that a retry gets its answer
 	}
 	n.abandon(now, c)
 }
