--- a/cmd/cardamomhatch/dev.go
+++ b/cmd/cardamomhatch/dev.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -50,9 +48,7 @@
 }
 
 // Run serves the mesh until SIGINT or SIGTERM, then stops it gracefully.
-func (c *devCommand) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func (c *devCommand) Run(ctx context.Context) error {
 	logger := newLogger()
 	m, err := dev.Start(ctx, dev.Options{Deployment: c.Deployment, Seed: c.Seed, TLS: c.TLS, Logger: logger})
 	if err != nil {
@@ -66,7 +62,6 @@
 	}
 	printMesh(m)
 	<-ctx.Done()
-	stop()
 	logger.Info("stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
--- a/cmd/cardamomhatch/load.go
+++ b/cmd/cardamomhatch/load.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"os"
-	"os/signal"
 	"slices"
 	"strings"
 	"time"
@@ -31,7 +30,7 @@
 }
 
 // Run generates the load and prints the result.
-func (c *loadCommand) Run() error {
+func (c *loadCommand) Run(ctx context.Context) error {
 	data, err := os.ReadFile(c.ReadyFile)
 	if err != nil {
 		return errors.Wrap(err, "ready file")
@@ -44,8 +43,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
 	result, err := load.Run(ctx, cfg)
 	if err != nil {
 		return err
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -83,14 +83,23 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
-	data, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		status, data = http.StatusInternalServerError, []byte(`{"error":{"code":"internal","message":"the answer cannot be encoded"}}`)
+	var body bytes.Buffer
+	if err := EncodeJSON(&body, v); err != nil {
+		status, body = http.StatusInternalServerError, *bytes.NewBufferString(`{"error":{"code":"internal","message":"the answer cannot be encoded"}}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store") // an answer can contain a new key
 	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n')) // the operator is gone
+	_, _ = w.Write(body.Bytes()) // an error means that the operator is gone
+}
+
+// EncodeJSON writes a value indented and without the escapes that JSON inside
+// HTML needs, so that people can read the diff of a plan.
+func EncodeJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
 }
 
 // readJSON reads a body of at most limit bytes strictly: an unknown field is
--- a/internal/operator/intents.go
+++ b/internal/operator/intents.go
@@ -263,14 +263,14 @@
 		d = &engine.Decision{Undecided: true, Reason: "the node has not answered: " + err.Error()}
 	}
 	for _, node := range d.Unconfirmed {
-		v.Unconfirmed = append(v.Unconfirmed, refer(node))
+		v.Unconfirmed = append(v.Unconfirmed, node.Host)
 	}
 	if !d.Accepted {
 		v.State, v.Reason, v.Detail, v.Ask = Unknown, reasonLog, d.Reason, "/v1/keys/"+p.KeyID
-		return v
-	}
-	if a.withdrawnInLog(p.KeyID) {
-		v.Unconfirmed = a.behind(ctx, max(withdrawWait-time.Since(started), minAskInterval))
+	} else if a.withdrawnInLog(p.KeyID) {
+		// The node no longer keeps who confirmed: who has folded as much has the record.
+		v.InForce = a.awaitInForce(ctx, a.offset()-1, max(withdrawWait-time.Since(started), minAskInterval))
+		v.Unconfirmed = v.InForce.Missing
 	}
 	return v
 }
@@ -283,20 +283,6 @@
 	return in
 }
 
-// behind returns the members that have not folded what this node has folded.
-func (a *api) behind(ctx context.Context, wait time.Duration) []NodeRef {
-	f := a.awaitInForce(ctx, a.offset()-1, wait)
-	var out []NodeRef
-	a.cfg.Node.View(func(n *engine.Node) {
-		for _, host := range f.Missing {
-			if m, ok := n.State().Member(host); ok {
-				out = append(out, refer(m.Node))
-			}
-		}
-	})
-	return out
-}
-
 // Key describes a key. Its secret is not known to any node.
 type Key struct {
 	ID        string         `json:"id"`
@@ -424,7 +410,7 @@
 	if !d.Accepted {
 		v.State, v.Reason = Unknown, reasonDrain
 		v.Detail = fmt.Sprintf("%s; confirm again here or at its operator address %s", d.Reason, member.OperatorAddress)
-		v.Unconfirmed = []NodeRef{refer(node)}
+		v.Unconfirmed = []mesh.Host{node.Host}
 	}
 	return v.answer()
 }
--- a/internal/operator/mesh_test.go
+++ b/internal/operator/mesh_test.go
@@ -316,7 +316,7 @@
 			t.fault(logserver.Fault{Outage: outage})
 			v := t.accepted(t.confirm(0, p))
 			for i, host := range t.mesh.Hosts {
-				confirmed := !slices.ContainsFunc(v.Unconfirmed, func(n operator.NodeRef) bool { return n.Host == host.Name })
+				confirmed := !slices.Contains(v.Unconfirmed, host.Name)
 				if status, why := t.call(clients[i], host, secret); confirmed && status == http.StatusOK {
 					t.Fatalf("host %s has confirmed and answers %d %s", host.Name, status, why)
 				}
--- a/internal/operator/verdict.go
+++ b/internal/operator/verdict.go
@@ -40,7 +40,7 @@
 	InForce     *InForce  `json:"in_force,omitempty"`
 	KeyID       string    `json:"key_id,omitempty"`
 	Secret      string    `json:"secret,omitempty"` // of a key just issued; never shown again
-	Unconfirmed []NodeRef `json:"unconfirmed,omitempty"`
+	Unconfirmed []mesh.Host `json:"unconfirmed,omitempty"` // hosts that may not act on it yet
 }
 
 // InForce tells how far an accepted record has come.
