--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -11,13 +11,13 @@
 const (
 	usageInterval = 50 * time.Millisecond // of the estimate of recent use
 	usageWeight   = 0.3
-	batchFor      = 0.1  // seconds of recent use that a batch covers
-	lowWaterFor   = 0.04 // seconds of recent use below which credit is asked ahead
+	batchFor      = 0.4  // seconds of recent use that a batch covers
+	lowWaterFor   = 0.1 // seconds of recent use below which credit is asked ahead
 	keepFor       = 0.02 // seconds of recent use kept at a recall
 	minUsage      = 1.0  // calls per second below which nothing is asked ahead
 	returnBefore  = 400 * time.Millisecond
 	minReportAge  = 5 * time.Millisecond
-	maxReportAge  = 50 * time.Millisecond
+	maxReportAge  = 250 * time.Millisecond
 	askTimeout    = 40 * time.Millisecond
 	unanswered    = -1 // need of an ask that was given up
 	minSilence    = 100 * time.Millisecond
