--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -95,8 +95,9 @@
 	MessageName() string
 }
 
-// RegisterMessage makes a message type known to the codec between nodes.
-func RegisterMessage(m Message) { gob.Register(m) }
+// RegisterMessage makes a message type known to the codec between nodes, under
+// its own name: the default, the import path, would double the size of a probe.
+func RegisterMessage(m Message) { gob.RegisterName(m.MessageName(), m) }
 
 // Envelope is a control message with its sender and receiver.
 type Envelope struct {
