--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -35,6 +35,7 @@
 	secrets  map[mesh.Workspace]string
 	ends     map[callName]end // by the node and call of a customer
 	runs     map[mesh.ActionID]int
+	decided  map[string]*Decision // by token
 	nextCall mesh.CallID
 	fail     func(n *testNode, e Effect) int // status of a run; 0 means 200
 	sent     func(mesh.Envelope)             // observes control messages
@@ -98,7 +99,7 @@
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[mesh.NodeID]*testNode{},
 		service: 5 * time.Millisecond, secrets: map[mesh.Workspace]string{}, ends: map[callName]end{},
-		runs: map[mesh.ActionID]int{}, cut: func(a, b mesh.Host) bool { return false },
+		runs: map[mesh.ActionID]int{}, decided: map[string]*Decision{}, cut: func(a, b mesh.Host) bool { return false },
 	}
 	m, err := declaration.Parse(declaration.File{Name: "test.ini", Data: []byte(files)})
 	if err != nil {
@@ -264,6 +265,8 @@
 		c.finish(n, e, end{at: c.now, whole: true, ticket: e.Ticket})
 	case IssueTicket:
 		c.ends[callName{n.member.Node.Host, e.Call}] = end{at: c.now, whole: true, ticket: e.Ticket}
+	case Decided:
+		c.decided[e.AppendID] = e.Decision
 	case Stopped:
 		c.kill(n)
 	}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -61,7 +61,8 @@
 	successor   mesh.NodeID
 	stopBy      time.Duration
 	handedOver  bool
-	lingerUntil time.Duration
+	handoverBy  time.Duration
+	lingerUntil time.Duration // zero until this node has left
 }
 
 func newControl() control {
--- /dev/null
+++ b/internal/engine/operate_test.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/keys"
+	"cardamomhatch/internal/logservice"
+)
+
+// keyRecord returns a record that issues a key, and its token.
+func keyRecord(t *testing.T, c *cluster, token byte) (string, []byte) {
+	t.Helper()
+	_, r, err := keys.Issue(chacha(uint64(token)), "anna")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := c.order[0]
+	h := config.Header{Token: config.Token{token}, By: n.member.Node, After: n.LogOffset()}
+	data, err := config.NewKeyIssued(h, config.Key{ID: string(r.ID), Hash: r.Hash, Workspace: "anna"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h.Token.String(), data
+}
+
+// Guards against a record that is reported as not taken, when the answer of an
+// earlier append was lost and only a later one was refused.
+func TestProposalWithLostAppendIsUndecided(t *testing.T) {
+	c := testCluster(t, 1)
+	n := c.order[0]
+	token, data := keyRecord(t, c, 1)
+	n.propose(n.lastNow, token, data, true)
+	ended := func(err error) { c.step(n, &AppendEnded{Token: token, Err: err}) }
+	ended(logservice.ErrUnknown)
+	ended(logservice.ErrUnavailable)
+	if d := c.decided[token]; d != nil {
+		t.Fatalf("decided %+v while the record may be in the log", d)
+	}
+	c.logDown = true
+	c.run(proposalTimeout + time.Second)
+	if d := c.decided[token]; d == nil || d.Accepted || !d.Undecided {
+		t.Fatalf("decision %+v, want undecided", d)
+	}
+	c.logDown = false
+	c.log = append(c.log, data) // the append that was late
+	c.run(time.Second)
+	c.step(n, &Proposed{Token: token, Data: data})
+	if d := c.decided[token]; !d.Accepted || d.Offset != uint64(len(c.log)-1) {
+		t.Fatalf("decision %+v on a record that is folded", d)
+	}
+}
+
+// Guards against a second confirmation under a token that replaces the record
+// which the first has appended.
+func TestSecondProposalUnderATokenJoinsTheFirst(t *testing.T) {
+	c := testCluster(t, 1)
+	n := c.order[0]
+	token, data := keyRecord(t, c, 1)
+	_, other := keyRecord(t, c, 2)
+	before := len(c.log)
+	c.step(n, &Proposed{Token: token, Data: data})
+	c.step(n, &Proposed{Token: token, Data: other})
+	c.run(time.Second)
+	if d := c.decided[token]; d == nil || !d.Accepted || d.Offset != uint64(before) || len(c.log) != before+1 {
+		t.Fatalf("decision %+v, %d records appended", d, len(c.log)-before)
+	}
+}
+
+// Guards against a drain that is lost with one message, or reported as done by a
+// node that cannot be reached.
+func TestDrainOfAnotherNode(t *testing.T) {
+	c := testCluster(t, 1)
+	n, other, cutOff := c.order[0], c.order[1], c.order[2]
+	c.lossy = 0.5
+	c.step(n, &DrainAsked{Token: "a", Node: other.member.Node})
+	c.run(drainTimeout)
+	if d := c.decided["a"]; d == nil || !d.Accepted || !other.Report().Local.Draining {
+		t.Fatalf("decision %+v, local %+v", d, other.Report().Local)
+	}
+	c.kill(cutOff)
+	c.step(n, &DrainAsked{Token: "b", Node: cutOff.member.Node})
+	c.run(drainTimeout + time.Second)
+	if d := c.decided["b"]; d == nil || d.Accepted || !d.Undecided {
+		t.Fatalf("decision %+v, want undecided", d)
+	}
+}
+
+// Guards against members that count as up to date without having said so.
+func TestStatusOfMembers(t *testing.T) {
+	c := testCluster(t, 1)
+	n := c.order[0]
+	c.kill(c.order[1])
+	c.step(n, &StatusAsked{})
+	c.run(100 * time.Millisecond)
+	for _, m := range n.Report().Members {
+		dead := m.Node == c.order[1].member.Node
+		if m.Known == dead || !dead && m.Status.Digest != n.State().Digest() {
+			t.Errorf("member %s: known %t, %+v", m.Node, m.Known, m.Status)
+		}
+	}
+	if until := n.Report().FreshUntil; until <= n.wall(n.lastNow) {
+		t.Errorf("fresh until %d at %d", until, n.wall(n.lastNow))
+	}
+}
+
+// Guards against a planned stop that waits in vain for its successor to answer
+// the handover: the successor could not answer a node that had already left.
+func TestPlannedStopDoesNotWaitForALostAnswer(t *testing.T) {
+	c := testCluster(t, 1)
+	n := c.order[len(c.order)-1] // no other node has it as a seed
+	c.step(n, &StopRequested{})
+	c.run(stopLinger + time.Second)
+	if !n.stopped {
+		t.Fatalf("the stop is not complete after %s", stopLinger+time.Second)
+	}
+}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -48,9 +48,14 @@
 		}
 		return
 	}
-	taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
-	waited := now >= n.control.lingerUntil+handoverLimit
-	if now >= n.control.lingerUntil && (taken || waited || n.control.successor.IsZero()) {
+	if n.control.lingerUntil == 0 {
+		taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
+		if taken || n.control.successor.IsZero() || now >= n.control.handoverBy {
+			n.leave(now)
+		}
+		return
+	}
+	if now >= n.control.lingerUntil {
 		n.stopped = true
 		n.emit(Effect{Kind: Stopped})
 	}
@@ -58,9 +63,15 @@
 
 func (n *Node) handOver(now time.Duration) {
 	n.control.handedOver = true
-	n.control.lingerUntil = now + stopLinger
+	n.control.handoverBy = now + handoverLimit
 	h := n.tickets.Seal(now)
 	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
+}
+
+// leave tells the others that this node has left. It comes after the answer to
+// the handover: the successor does not send to a node that has left.
+func (n *Node) leave(now time.Duration) {
+	n.control.lingerUntil = now + stopLinger
 	n.envelopes = n.members.Leave(now, n.control.successor, n.envelopes)
 	n.proposeOnce(now, "leave", func(h config.Header) ([]byte, error) {
 		return config.NewNodeLeft(h, n.cfg.Self.Node, n.control.successor)
--- a/internal/operator/verdict.go
+++ b/internal/operator/verdict.go
@@ -36,10 +36,10 @@
 	WithToken  string  `json:"with_token,omitempty"`
 	Record     *uint64 `json:"record,omitempty"` // offset of the accepted record
 	// Ask is the path at which to ask again, at any node, while State is unknown.
-	Ask         string    `json:"ask,omitempty"`
-	InForce     *InForce  `json:"in_force,omitempty"`
-	KeyID       string    `json:"key_id,omitempty"`
-	Secret      string    `json:"secret,omitempty"` // of a key just issued; never shown again
+	Ask         string      `json:"ask,omitempty"`
+	InForce     *InForce    `json:"in_force,omitempty"`
+	KeyID       string      `json:"key_id,omitempty"`
+	Secret      string      `json:"secret,omitempty"`      // of a key just issued; never shown again
 	Unconfirmed []mesh.Host `json:"unconfirmed,omitempty"` // hosts that may not act on it yet
 }
 
