--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -21,7 +21,7 @@
 
 // maxPanelLarge is the size of the panel of a mesh over many data centres.
 const (
-	maxPanelLarge    = 35
+	maxPanelLarge    = 19
 	largeDataCentres = 4
 )
 
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -12,9 +12,9 @@
 // ask the panel, relays of a group ask those of their data centre, and all
 // others ask the relays of their group.
 const (
-	relayFleet = 64 // members of the fleet from which relays are used
+	relayFleet = 24 // members of the fleet from which relays are used
 	relayCount = 3  // relays of a data centre, and of a group
-	groupSize  = 48 // members of a group; a relay answers 1.3 times a second for each
+	groupSize  = 48 // members of a group; a relay answers each 0.7 times a second
 )
 
 // relaysOf returns the nodes that self asks for evidence. The list is empty in
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -6,8 +6,8 @@
 	"cardamomhatch/internal/mesh"
 )
 
-// maxAskers bounds the nodes that ask one relay. Each asks two of three relays
-// twice a second, and an answer has 66 bytes, so 100 askers take 8.8 KB/s of the
+// maxAskers bounds the nodes that ask one relay. Each asks one of three relays
+// twice a second, and an answer has 100 bytes, so 100 askers take 6.7 KB/s of the
 // 9 KB/s that a node may use for control.
 const maxAskers = 100
 
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -13,7 +13,7 @@
 
 const (
 	// FreshFor is F: how long evidence counts after the request it answers.
-	FreshFor = 2 * time.Second
+	FreshFor = 3 * time.Second
 	// DriftPercent bounds how far two clocks drift apart over FreshFor.
 	DriftPercent = 1
 
@@ -28,7 +28,10 @@
 	// While the log answers, its own evidence is enough and nobody is probed. The
 	// rest of FreshFor is for a probe and its answer after the log goes down.
 	logPatience = FreshFor * 3 / 5
-	relaysAsked = 2
+	// Relays of a data centre ask the panel less often than other nodes ask their
+	// relays, in percent of the interval, so that a panel of 19 answers 54 of them
+	// within its share of the network.
+	relayInterval = 150
 )
 
 const never = time.Duration(-1 << 62)
@@ -107,19 +110,21 @@
 // Tracker keeps the dates of evidence of one node. It is not safe for
 // concurrent use.
 type Tracker struct {
-	self      mesh.NodeID
-	cfg       Config
-	panel     Panel
-	relays    []mesh.NodeID
-	known     Knowledge
-	covered   []uint64
-	readHead  bool // the log was read to its head in this incarnation
-	log       *source
-	relay     *source
-	members   map[mesh.Host]*source
-	watches   map[uint64]*watch
-	nextProbe time.Duration
-	turn      int
+	self     mesh.NodeID
+	cfg      Config
+	panel    Panel
+	relays   []mesh.NodeID
+	known    Knowledge
+	covered  []uint64
+	readHead bool // the log was read to its head in this incarnation
+	log      *source
+	relay    *source
+	// relayAnswered is set when a relay with fresh evidence answers.
+	relayAnswered bool
+	members       map[mesh.Host]*source
+	watches       map[uint64]*watch
+	nextProbe     time.Duration
+	turn          int
 }
 
 // New returns a tracker without evidence.
--- a/internal/evidence/messages.go
+++ b/internal/evidence/messages.go
@@ -37,6 +37,7 @@
 	c := claim{at: a.Asked, offset: a.Offset, pending: a.Pending, node: from}
 	if a.Relay {
 		if a.Fresh {
+			t.relayAnswered = true
 			c.at -= a.Age + drift(a.Age)
 			t.add(t.relay, c)
 		}
@@ -57,18 +58,29 @@
 		return out
 	}
 	t.nextProbe = now + t.cfg.ProbeEvery
+	if len(t.relays) > 0 && slices.Contains(t.relays, t.self) {
+		t.nextProbe = now + t.cfg.ProbeEvery*relayInterval/100
+	}
 	if now < t.log.at+logPatience && !t.awaitsAcknowledgements() {
 		return out
 	}
 	if t.probesPanel(now) {
 		return t.probe(now, t.panelNodes(), false, out)
 	}
-	var asked []mesh.NodeID
-	for i := range min(relaysAsked, len(t.relays)) {
-		asked = append(asked, t.relays[(t.turn+i)%len(t.relays)])
+	return t.probe(now, t.nextRelays(), true, out)
+}
+
+// nextRelays returns one relay, each in its turn, or all of them if the last
+// one has not answered.
+func (t *Tracker) nextRelays() []mesh.NodeID {
+	answered := t.relayAnswered
+	t.relayAnswered = false
+	if !answered {
+		return t.relays
 	}
 	t.turn++
-	return t.probe(now, asked, true, out)
+	i := t.turn % len(t.relays)
+	return t.relays[i : i+1]
 }
 
 // probesPanel reports whether this node asks the panel itself: as a member, as
