--- /dev/null
+++ b/cmd/cardamomhatch/experiment.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/admission"
+	"cardamomhatch/internal/experiment"
+)
+
+type experimentCommand struct {
+	Deployment  string        `enum:"hanskasmidjan,himalaya" default:"hanskasmidjan" help:"Deployment: hanskasmidjan or himalaya."`
+	Scenario    []string      `default:"all" help:"Scenarios to run, or all."`
+	Policy      string        `enum:"full,none,static" default:"full" help:"Policy: full, none or static. Only full is judged."`
+	AllPolicies bool          `help:"Run each scenario under full, static and none, one after the other."`
+	Seed        uint64        `default:"1" help:"Seed of arrivals, choices and service times."`
+	Duration    time.Duration `default:"16s" help:"Measured time of a scenario, without the warm-up."`
+	JSON        string        `placeholder:"FILE" help:"Write the results as JSON to FILE; - is standard output."`
+}
+
+// Run runs the scenarios and fails if an expected outcome is missed.
+func (c *experimentCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	policies, err := c.policies()
+	if err != nil {
+		return err
+	}
+	scenarios := c.Scenario
+	if len(scenarios) == 1 && scenarios[0] == "all" {
+		scenarios = experiment.Scenarios()
+	}
+	var results []*experiment.Result
+	for _, scenario := range scenarios {
+		for _, policy := range policies {
+			result, err := experiment.Run(ctx, experiment.Options{
+				Deployment: c.Deployment, Scenario: scenario, Policy: policy, Seed: c.Seed, Duration: c.Duration,
+			})
+			if err != nil {
+				return errors.Wrapf(err, "scenario %s under policy %s", scenario, policy)
+			}
+			result.WriteDetails(os.Stderr)
+			results = append(results, result)
+		}
+	}
+	if err := c.write(results); err != nil {
+		return err
+	}
+	return missed(results)
+}
+
+func (c *experimentCommand) policies() ([]admission.Policy, error) {
+	if c.AllPolicies {
+		return []admission.Policy{admission.PolicyFull, admission.PolicyStatic, admission.PolicyNone}, nil
+	}
+	policy, err := admission.ParsePolicy(c.Policy)
+	return []admission.Policy{policy}, err
+}
+
+func (c *experimentCommand) write(results []*experiment.Result) error {
+	if c.JSON == "-" {
+		return experiment.WriteJSON(os.Stdout, results)
+	}
+	if c.JSON != "" {
+		err := writeFile(c.JSON, func(w io.Writer) error { return experiment.WriteJSON(w, results) })
+		if err != nil {
+			return err
+		}
+	}
+	return experiment.WriteTable(os.Stdout, results)
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// missed names every expected outcome that was not met.
+func missed(results []*experiment.Result) error {
+	count := 0
+	for _, r := range results {
+		for _, miss := range r.Misses {
+			fmt.Fprintf(os.Stderr, "missed in %s %s, seed %d: %s\n", r.Deployment, r.Scenario, r.Seed, miss)
+			count++
+		}
+	}
+	if count > 0 {
+		return errors.Errorf("%d expected outcomes were missed", count)
+	}
+	return nil
+}
--- a/cmd/cardamomhatch/main.go
+++ b/cmd/cardamomhatch/main.go
@@ -8,9 +8,10 @@
 
 // commands is the command line. Each subcommand has a Run method.
 type commands struct {
-	Dev     devCommand     `cmd:"" help:"Run an example mesh in one process on loopback."`
-	Load    loadCommand    `cmd:"" help:"Generate open-loop load against a mesh."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Dev        devCommand        `cmd:"" help:"Run an example mesh in one process on loopback."`
+	Load       loadCommand       `cmd:"" help:"Generate open-loop load against a mesh."`
+	Experiment experimentCommand `cmd:"" help:"Run scenarios of overload and failure on real nodes and judge the figures."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/internal/engine/node.go
+++ b/internal/engine/node.go
@@ -185,6 +185,9 @@
 // InFlight returns the number of calls at this node.
 func (n *Node) InFlight() int { return len(n.calls) }
 
+// AdmissionLoad returns the state of the local upstream's admission.
+func (n *Node) AdmissionLoad() admission.Load { return n.admission.Load(n.lastNow) }
+
 // configured reports whether a configuration is known and complete.
 func (n *Node) configured() bool { return !n.control.gap && n.state.Configured() }
 
--- /dev/null
+++ b/internal/experiment/result.go
@@ -0,0 +1,204 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"cardamomhatch/internal/admission"
+	"cardamomhatch/internal/load"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// Result is one run with its figures and, for the full policy, its misses.
+type Result struct {
+	Deployment string  `json:"deployment"`
+	Scenario   string  `json:"scenario"`
+	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
+	TimeScale  float64 `json:"time_scale"` // on the deployment's service times
+	Measured   float64 `json:"measured_s"`
+	Demand     float64 `json:"demand_per_second"` // actions, without the cause
+	Figures
+	Endings    map[string]int `json:"endings"` // measured requests by their end
+	Violations []Violation    `json:"violations"`
+	Misses     []string       `json:"misses"` // expected outcomes that were not met
+	Series     []Sample       `json:"series,omitempty"`
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise string `json:"promise"`
+	Count   int    `json:"count"`
+	Example string `json:"example"`
+}
+
+func (r *run) result() *Result {
+	out := &Result{
+		Deployment: r.options.Deployment, Scenario: r.scenario.Name, Policy: r.options.Policy.String(),
+		Seed: r.options.Seed, TimeScale: TimeScale, Measured: r.options.Duration.Seconds(), Demand: r.plan.Rate,
+		Figures: r.figures(), Endings: r.endings(), Violations: r.violations(), Misses: []string{},
+	}
+	out.Series = r.series()
+	if r.options.Policy == admission.PolicyFull {
+		out.Misses = r.scenario.misses(out)
+	}
+	return out
+}
+
+func (r *run) endings() map[string]int {
+	ends := map[string]int{}
+	for _, e := range r.measured() {
+		ends[describe(e)]++
+	}
+	return ends
+}
+
+func describe(e load.Ending) string {
+	switch {
+	case e.InTime:
+		return "in-time"
+	case e.Kind == load.Whole:
+		return "late"
+	case e.Kind == load.Refused:
+		return e.Refusal.Execution.String() + "/" + e.Refusal.Reason.String()
+	case e.Kind == load.CutOff:
+		return "cut"
+	case e.Kind == load.Dropped:
+		return "dropped"
+	}
+	return "failed"
+}
+
+// misses compares a result with the expected outcomes.
+func (s *Scenario) misses(r *Result) []string {
+	misses := []string{}
+	expect := func(met bool, format string, args ...any) {
+		if !met {
+			misses = append(misses, fmt.Sprintf(format, args...))
+		}
+	}
+	expect(r.GoodputRatio >= goalGoodput, "goodput_ratio %.3f is below %.2f", r.GoodputRatio, goalGoodput)
+	expect(r.CriticalSuccess < 0 || r.CriticalSuccess >= goalCritical,
+		"critical_success %.4f is below %.3f", r.CriticalSuccess, goalCritical)
+	expect(r.Recovered && r.RecoverySeconds <= goalRecovery.Seconds(),
+		"recovery_s %.1f is above %.1f", r.RecoverySeconds, goalRecovery.Seconds())
+	expect(r.WorstWorkspaceShare >= goalWorst,
+		"worst_workspace_share %.3f (%s) is below %.1f", r.WorstWorkspaceShare, r.WorstWorkspace, goalWorst)
+	rateBound := max(s.MaxRefused, goalRefusedSteady)
+	expect(r.WrongfulRefusals.Rate <= rateBound,
+		"wrongful_refusals for rate %.5f are above %.3f", r.WrongfulRefusals.Rate, rateBound)
+	if s.MaxRefused > 0 {
+		expect(r.WrongfulRefusals.Load <= s.MaxRefused,
+			"wrongful_refusals for load %.5f are above %.3f", r.WrongfulRefusals.Load, s.MaxRefused)
+	}
+	expect(r.QuotaExcess <= goalExcess, "quota_excess %.1f is above %d", r.QuotaExcess, goalExcess)
+	expect(len(r.Violations) == 0, "%d promises were broken", len(r.Violations))
+	return misses
+}
+
+// violations checks the promises that hold for every call.
+func (r *run) violations() []Violation {
+	found := map[string]*Violation{}
+	note := func(promise, example string) {
+		if found[promise] == nil {
+			found[promise] = &Violation{Promise: promise, Example: example}
+		}
+		found[promise].Count++
+	}
+	for range r.keysSeen {
+		note("no upstream sees a caller's key", "counted by upstreams")
+	}
+	orders := map[string]int{}
+	for _, a := range r.log.attempts {
+		executed := r.log.executed(a.Marker)
+		entry := r.plan.Routes[a.Route].Service
+		if a.Kind == load.Refused && a.Refusal.Execution == outcome.NotRun && len(executed) > 0 {
+			note("a refusal that says not run is true", a.Marker+" "+a.Refusal.Error())
+		}
+		if a.Ticketed {
+			orders[a.Request] += executed[entry]
+		}
+		if a.Kind == load.Whole && (a.Bytes != answerBytes || a.Foreign) {
+			note("a whole answer is complete and belongs to its call", fmt.Sprintf("%s has %d bytes", a.Marker, a.Bytes))
+		}
+	}
+	for request, n := range orders {
+		if n > 1 {
+			note("an order with a ticket runs at most once", fmt.Sprintf("%s ran %d times", request, n))
+		}
+	}
+	violations := []Violation{}
+	for _, promise := range sortedKeys(found) {
+		violations = append(violations, *found[promise])
+	}
+	return violations
+}
+
+func (e *events) executed(marker string) map[mesh.Service]int {
+	if r := e.received[marker]; r != nil {
+		return r.executed
+	}
+	return nil
+}
+
+// WriteJSON writes the results as one indented document: an object for one
+// result, else an array.
+func WriteJSON(w io.Writer, results []*Result) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if len(results) == 1 {
+		return encoder.Encode(results[0])
+	}
+	return encoder.Encode(results)
+}
+
+// WriteTable writes one line per run.
+func WriteTable(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "scenario\tpolicy\tgoodput\tcritical\trecovery s\tworst\trefused rate\trefused load\texecutions\texcess\tviolations")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%.3f\t%s\t%s\t%.3f\t%.4f\t%.4f\t%.2f of %.2f\t%.1f\t%d\n",
+			r.Scenario, r.Policy, r.GoodputRatio, r.critical(), r.recoveryText(), r.WorstWorkspaceShare,
+			r.WrongfulRefusals.Rate, r.WrongfulRefusals.Load, r.ExecutionsPerAction, r.DeclaredPerAction,
+			r.QuotaExcess, len(r.Violations))
+	}
+	return t.Flush()
+}
+
+func (r *Result) critical() string {
+	if r.CriticalSuccess < 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.4f", r.CriticalSuccess)
+}
+
+func (r *Result) recoveryText() string {
+	if !r.Recovered {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f", r.RecoverySeconds)
+}
+
+// WriteDetails writes the ends, violations and misses of one run.
+func (r *Result) WriteDetails(w io.Writer) {
+	fmt.Fprintf(w, "%s %s %s: seed %d, service times ×%g, %.0f actions/s without the cause, %.0f upstream calls/s\n",
+		r.Deployment, r.Scenario, r.Policy, r.Seed, r.TimeScale, r.Demand, r.CallsPerSecond)
+	for _, end := range slices.Sorted(maps.Keys(r.Endings)) {
+		fmt.Fprintf(w, "  %-32s %d\n", end, r.Endings[end])
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  violation: %s: %d times, for example %s\n", v.Promise, v.Count, v.Example)
+	}
+	for _, miss := range r.Misses {
+		fmt.Fprintf(w, "  missed: %s\n", miss)
+	}
+}
+
+// elapsed is the time since the first arrival.
+func (r *run) elapsed() time.Duration { return time.Since(r.began) }
--- /dev/null
+++ b/internal/experiment/series.go
@@ -0,0 +1,92 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/load"
+)
+
+// sampleInterval is the time between two samples of the nodes, and the bin of
+// the series.
+const sampleInterval = 250 * time.Millisecond
+
+// Sample is one bin of the course of a run.
+type Sample struct {
+	Second   float64        `json:"t"`
+	Arrivals int            `json:"arrivals"`
+	InTime   int            `json:"in_time"`
+	Refused  map[string]int `json:"refused,omitempty"` // by reason
+	// Of the service that the cause slows down, over all its nodes.
+	InFlight int `json:"in_flight"`
+	Queue    int `json:"queue"`
+	Limit    int `json:"limit"`
+}
+
+// sampler reads the admission state of nodes while a run lasts.
+type sampler struct {
+	run     *run
+	mu      sync.Mutex
+	samples map[int]Sample // by bin
+}
+
+func (s *sampler) work(ctx context.Context) {
+	for sleep(ctx, sampleInterval) {
+		s.sample()
+	}
+}
+
+func (s *sampler) sample() {
+	bin := int(s.run.elapsed() / sampleInterval)
+	var sum Sample
+	s.run.hostsMu.Lock()
+	for _, h := range s.run.hosts(s.run.plan.bottleneck()) {
+		h.Process.View(func(n *engine.Node) {
+			load := n.AdmissionLoad()
+			sum.InFlight += load.InFlight
+			sum.Queue += load.Queued
+			sum.Limit += load.Limit
+		})
+	}
+	s.run.hostsMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.samples == nil {
+		s.samples = map[int]Sample{}
+	}
+	s.samples[bin] = sum
+}
+
+// series joins what clients saw with the samples of the nodes, by bin.
+func (r *run) series() []Sample {
+	bins := make([]Sample, int(r.phases.End/sampleInterval)+1)
+	r.samples.mu.Lock()
+	defer r.samples.mu.Unlock()
+	for i := range bins {
+		bins[i] = r.samples.samples[i]
+		bins[i].Second = (time.Duration(i) * sampleInterval).Seconds()
+	}
+	for _, e := range r.log.endings {
+		i := int(e.Start.Sub(r.began) / sampleInterval)
+		if i < 0 || i >= len(bins) {
+			continue
+		}
+		bins[i].Arrivals++
+		switch {
+		case e.InTime:
+			bins[i].InTime++
+		case e.Kind == load.Refused:
+			bins[i].refuse(e.Refusal.Reason.String())
+		}
+	}
+	return bins
+}
+
+func (s *Sample) refuse(reason string) {
+	if s.Refused == nil {
+		s.Refused = map[string]int{}
+	}
+	s.Refused[reason]++
+}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -61,6 +61,15 @@
 	Tickets   bool
 	Transport http.RoundTripper // nil means one of the run's own
 	Progress  func(Progress)    // called every second and at the end; may be nil
+	// Usable reports whether a target accepts connections; nil means all do. A
+	// client with several addresses skips one that refuses connections.
+	Usable func(target string) bool
+	// MarkerHeader, if not empty, carries Attempt.Marker on each attempt.
+	MarkerHeader string
+	// Attempted and Ended receive each attempt and the end of each request. They
+	// are called concurrently and may be nil.
+	Attempted func(Attempt)
+	Ended     func(Ending)
 }
 
 // Progress is a running total.
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -24,14 +24,14 @@
 )
 
 // kind is how a request ended.
-type kind uint8
+type kind = Kind
 
 const (
-	whole kind = iota
-	refused
-	failed
-	cut
-	dropped
+	whole   = Whole
+	refused = Refused
+	failed  = Failed
+	cut     = CutOff
+	dropped = Dropped
 )
 
 // ending is the end of one attempt.
@@ -39,7 +39,8 @@
 	kind    kind
 	refusal outcome.Refusal // refused
 	status  int
-	inTime  bool // whole
+	inTime  bool  // whole
+	bytes   int64 // of the body
 }
 
 // ticketPool keeps the tickets that answers carried, newest first out.
@@ -90,6 +91,7 @@
 	latency := time.Since(a.at)
 	end.inTime = latency <= timeout
 	line.ended(end, latency)
+	r.reportEnd(a, end, latency)
 }
 
 // client performs the attempts of one request.
@@ -101,6 +103,7 @@
 	arrival   arrival
 	deadline  time.Time
 	ticket    string
+	attempts  int
 }
 
 // retryable reports whether another attempt is safe and may help.
@@ -142,20 +145,34 @@
 			return ending{kind: failed, status: end.status}
 		}
 	}
+	c.attempts++
 	end, header := c.send(ctx, c.route.Method, c.route.Path, c.route.Body)
+	c.report(end, header)
 	if c.runner.cfg.Tickets && !c.route.Idempotent && header != nil {
 		c.pool.put(header.Get(ticketHeader))
 	}
 	return end
 }
 
+// target chooses a usable target, or any if none is.
+func (c *client) target() string {
+	targets := c.runner.cfg.Targets
+	first := c.arrival.random.IntN(len(targets))
+	for i := range targets {
+		target := targets[(first+i)%len(targets)]
+		if c.runner.cfg.Usable == nil || c.runner.cfg.Usable(target) {
+			return target
+		}
+	}
+	return targets[first]
+}
+
 // onceReader hides the type of a body, so that http.Transport cannot send it
 // again by itself.
 type onceReader struct{ io.Reader }
 
 func (c *client) send(ctx context.Context, method, path string, body []byte) (ending, http.Header) {
-	targets := c.runner.cfg.Targets
-	base := strings.TrimSuffix(targets[c.arrival.random.IntN(len(targets))], "/")
+	base := strings.TrimSuffix(c.target(), "/")
 	request, err := http.NewRequestWithContext(ctx, method, base+path, onceReader{bytes.NewReader(body)})
 	if err != nil {
 		return ending{kind: failed}, nil
@@ -169,6 +186,9 @@
 	if c.ticket != "" {
 		request.Header.Set(ticketHeader, c.ticket)
 	}
+	if name := c.runner.cfg.MarkerHeader; name != "" && path == c.route.Path {
+		request.Header.Set(name, c.marker())
+	}
 	response, err := c.runner.cfg.Transport.RoundTrip(request)
 	if err != nil {
 		return ending{kind: failed}, nil
@@ -180,7 +200,8 @@
 // read reads the whole answer and says how it ended.
 func read(response *http.Response) ending {
 	end := ending{status: response.StatusCode}
-	_, err := io.Copy(io.Discard, response.Body)
+	n, err := io.Copy(io.Discard, response.Body)
+	end.bytes = n
 	refusal, isRefusal := outcome.Parse(response.Header)
 	switch {
 	case isRefusal:
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -18,6 +18,7 @@
 	start    time.Time
 	slots    chan struct{}
 	inFlight atomic.Int64
+	arrivals atomic.Uint64
 	requests sync.WaitGroup
 	lines    [][]*recorder // by workspace and route
 	tickets  []*ticketPool // by workspace
@@ -28,6 +29,7 @@
 	workspace, route int
 	at               time.Time // intended start
 	random           *rand.Rand
+	number           uint64 // among the requests of the run
 }
 
 // Run generates the load and waits for the last answer. It fails for an invalid
@@ -101,10 +103,12 @@
 func (r *runner) launch(ctx context.Context, a arrival) {
 	line := r.lines[a.workspace][a.route]
 	line.arrived()
+	a.number = r.arrivals.Add(1)
 	select {
 	case r.slots <- struct{}{}:
 	default:
 		line.ended(ending{kind: dropped}, 0)
+		r.reportEnd(a, ending{kind: dropped}, 0)
 		return
 	}
 	r.inFlight.Add(1)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -42,6 +42,9 @@
 	Seed       uint64
 	Name       string // shown in answers
 	Listen     string // address for Main
+	// Observe receives each marked call as it arrives and again, with executed
+	// set, when its work has been carried through; nil means no observer.
+	Observe func(marker string, executed bool)
 }
 
 // Call is a downstream call that every call of this upstream makes.
@@ -207,6 +210,7 @@
 	if seen {
 		u.counts.KeysSeen++
 	}
+	u.observe(r.Header.Get(MarkerHeader), false)
 	return u.faults
 }
 
@@ -223,6 +227,13 @@
 	if marker != "" {
 		u.actions[marker]++
 	}
+	u.observe(marker, true)
+}
+
+func (u *Upstream) observe(marker string, executed bool) {
+	if u.cfg.Observe != nil && marker != "" {
+		u.cfg.Observe(marker, executed)
+	}
 }
 
 // enter waits for a slot in the internal queue, first in first out. The result
