--- a/cmd/cardamomhatch/main.go
+++ b/cmd/cardamomhatch/main.go
@@ -27,6 +27,7 @@
 	Timeline         timelineCommand         `cmd:"" help:"Collect and merge the timelines of all nodes."`
 	Replay           replayCommand           `cmd:"" help:"Check a recorded timeline against stated outcomes."`
 	Load             loadCommand             `cmd:"" help:"Generate open-loop load against a mesh."`
+	Experiment       experimentCommand       `cmd:"" help:"Run scenarios of overload and failure on real nodes and judge the figures."`
 	CheckSettings    checkSettingsCommand    `cmd:"" help:"Check a settings file."`
 	CheckDeclaration checkDeclarationCommand `cmd:"" help:"Check declaration files."`
 	LogStandin       logStandinCommand       `cmd:"" help:"Run the stand-in log service."`
