--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -12,7 +12,7 @@
 	usageInterval = 50 * time.Millisecond // of the estimate of recent use
 	usageWeight   = 0.3
 	batchFor      = 0.4  // seconds of recent use that a batch covers
-	lowWaterFor   = 0.1 // seconds of recent use below which credit is asked ahead
+	lowWaterFor   = 0.1  // seconds of recent use below which credit is asked ahead
 	keepFor       = 0.02 // seconds of recent use kept at a recall
 	minUsage      = 1.0  // calls per second below which nothing is asked ahead
 	returnBefore  = 400 * time.Millisecond
