--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -323,3 +323,19 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Guards against a directory that stops after its first part when the seed is
+// known by its address alone.
+func TestRosterOfASeedWithoutHost(t *testing.T) {
+	seed := mesh.Member{Node: mesh.NodeID{Incarnation: 1}, PeerAddress: "10.0.0.1:7001"}
+	d := New(member(0, 1), Config{Seeds: []mesh.Member{seed}})
+	if out := d.Tick(time.Second, nil); len(out) == 0 || out[len(out)-1].To != seed.Node {
+		t.Fatalf("the seed is not asked: %v", out)
+	}
+	from := member(1, 2)
+	roster := Roster{Updates: []Update{{Member: from, Counter: 1}}, Next: 5}
+	out := d.Deliver(time.Second, from.Node, roster, nil)
+	if len(out) == 0 || out[len(out)-1].To != from.Node || out[len(out)-1].Message != (Ask{Cursor: 5}) {
+		t.Fatalf("the next part is not asked for: %v", out)
+	}
+}
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -197,6 +197,9 @@
 			out = d.challenge(u.Member.Node.Host, out)
 		}
 	}
+	if d.spread.asked.Host == "" {
+		d.spread.asked = from // a seed known by its address alone
+	}
 	if d.spread.synced || from.Host != d.spread.asked.Host {
 		return out
 	}
