--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -1,9 +1,12 @@
 package engine
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,18 +29,31 @@
 	nodes  map[mesh.NodeID]*testNode
 	order  []*testNode
 
-	log      [][]byte
-	logDown  bool
-	loseAck  bool // appends take effect, their answers are lost
-	lossy    float64
-	cut      func(from, to mesh.Host) bool
-	service  time.Duration
-	secrets  map[mesh.Workspace]string
-	ends     map[callName]end // by the node and call of a customer
-	runs     map[mesh.ActionID]int
-	nextCall mesh.CallID
-	fail     func(n *testNode, e Effect) int // status of a run; 0 means 200
-	sent     func(mesh.Envelope)             // observes control messages
+	declared   *declaration.Mesh
+	log        [][]byte
+	logFirst   uint64 // first record that the log has kept
+	snapshots  [][]byte
+	logDown    bool
+	logCut     func(mesh.Host) bool // hosts that do not reach the log
+	loseAck    float64              // share of appends that take effect without an answer
+	lossy      float64
+	doubled    float64       // share of control messages that arrive twice
+	jitter     time.Duration // greatest extra delay of control messages; reorders them
+	cut        func(from, to mesh.Host) bool
+	service    time.Duration
+	secrets    map[mesh.Workspace]string
+	ends       map[callName]end // by the node and call of a customer
+	runs       map[mesh.ActionID]int
+	nextCall   mesh.CallID
+	fail       func(n *testNode, e Effect) int // status of a run; 0 means 200
+	sent       func(mesh.Envelope)             // observes control messages
+	upstream   func(n *testNode, e Effect)     // replaces the plain upstream
+	linked     func(from, to mesh.CallID)      // observes forwarded calls
+	stepped    func(n *testNode, ev Event)     // observes steps
+	effect     func(n *testNode, e Effect)     // observes effects before they are executed
+	status     map[mesh.CallID]int             // of the last answer of a call
+	loseAnswer func() bool                     // an answer between nodes is lost after the run
+	cutBody    func() bool                     // an answer to a customer breaks off
 }
 
 type callName struct {
@@ -59,7 +75,12 @@
 	start    time.Duration // cluster time at the node's start
 	dead     bool
 	callers  map[mesh.CallID]hopSource
+	hops     map[attemptName]hopTarget // calls that this node has sent to others
 	pausedTo time.Duration
+	silent   bool // the upstream does not announce itself
+	notReady bool
+	leaving  time.Duration // start of a drain or planned stop; 0 if none
+	lastSeen time.Duration // last announcement
 }
 
 // hopSource is the call at another node that a forwarded call belongs to.
@@ -69,6 +90,16 @@
 	attempt int
 }
 
+type attemptName struct {
+	call    mesh.CallID
+	attempt int
+}
+
+type hopTarget struct {
+	node *testNode
+	call mesh.CallID
+}
+
 type scheduled struct {
 	at     time.Duration
 	serial uint64
@@ -99,11 +130,14 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[mesh.NodeID]*testNode{},
 		service: 5 * time.Millisecond, secrets: map[mesh.Workspace]string{}, ends: map[callName]end{},
 		runs: map[mesh.ActionID]int{}, cut: func(a, b mesh.Host) bool { return false },
+		logCut: func(mesh.Host) bool { return false }, status: map[mesh.CallID]int{},
+		loseAnswer: func() bool { return false }, cutBody: func() bool { return false },
 	}
 	m, err := declaration.Parse(declaration.File{Name: "test.ini", Data: []byte(files)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.declared = m
 	c.configure(m)
 	for i, s := range services {
 		c.start(mesh.Host(fmt.Sprintf("host-%d", i)), s)
@@ -156,12 +190,17 @@
 	c.log = append(c.log, data)
 }
 
+// dataCentreOf spreads hosts over three data centres.
+func dataCentreOf(host mesh.Host) mesh.DataCentre {
+	return mesh.DataCentre(fmt.Sprintf("dc-%d", host[len(host)-1]%3))
+}
+
 // start starts a node, or a new incarnation of it, and its upstream.
 func (c *cluster) start(host mesh.Host, service mesh.Service) *testNode {
 	incarnation := mesh.Incarnation(c.random.Uint64() | 1)
 	member := mesh.Member{
 		Node: mesh.NodeID{Host: host, Incarnation: incarnation}, Service: service,
-		DataCentre: mesh.DataCentre("dc-" + string(host[len(host)-1:])), PeerAddress: string(host),
+		DataCentre: dataCentreOf(host), PeerAddress: string(host),
 	}
 	var seeds []mesh.Member
 	for _, other := range c.order {
@@ -169,7 +208,8 @@
 			seeds = append(seeds, other.member)
 		}
 	}
-	n := &testNode{member: member, start: c.now, callers: map[mesh.CallID]hopSource{}}
+	n := &testNode{member: member, start: c.now, callers: map[mesh.CallID]hopSource{},
+		hops: map[attemptName]hopTarget{}}
 	cfg := Config{Self: member, Seeds: seeds, WallAtZero: int64(c.now) + 1e18}
 	for i := range cfg.Seed {
 		cfg.Seed[i] = byte(c.random.Uint32())
@@ -184,15 +224,49 @@
 	return n
 }
 
-func (c *cluster) announce(n *testNode) { c.step(n, announcement(n)) }
+func (c *cluster) announce(n *testNode) {
+	if n.silent {
+		return
+	}
+	n.lastSeen = c.now
+	a := announcement(n)
+	a.Ready = !n.notReady
+	c.step(n, a)
+}
 
 func announcement(n *testNode) *UpstreamAnnounced {
 	return &UpstreamAnnounced{Service: n.member.Service, URL: "http://upstream", Slots: 20, Connections: 100, Ready: true}
 }
 
+// kill ends a node at once. Its connections break at both ends.
 func (c *cluster) kill(n *testNode) {
 	n.dead = true
 	delete(c.nodes, n.member.Node)
+	for _, id := range slices.Sorted(maps.Keys(n.callers)) {
+		c.lose(n, id)
+	}
+	for _, target := range n.hops {
+		delete(target.node.callers, target.call)
+	}
+	targets := slices.SortedFunc(maps.Values(n.hops), func(a, b hopTarget) int { return cmp.Compare(a.call, b.call) })
+	for _, target := range targets {
+		c.at(networkDelay, func() { c.step(target.node, &CallGone{Call: target.call}) })
+	}
+}
+
+// lose breaks the connection on which a call was forwarded to a node. The
+// caller cannot know whether the call ran.
+func (c *cluster) lose(n *testNode, id mesh.CallID) {
+	source, ok := n.callers[id]
+	if !ok {
+		return
+	}
+	delete(n.callers, id)
+	delete(source.node.hops, attemptName{source.call, source.attempt})
+	c.at(networkDelay, func() {
+		c.step(source.node, &AttemptFailed{Call: source.call, Attempt: source.attempt,
+			Execution: outcome.MayHaveRun, Reason: outcome.PeerLost, Replayable: true})
+	})
 }
 
 func (c *cluster) at(delay time.Duration, run func()) {
@@ -205,7 +279,9 @@
 		if n.dead {
 			return
 		}
-		run()
+		if c.now >= n.pausedTo {
+			run()
+		}
 		c.every(interval, n, run)
 	})
 }
@@ -220,13 +296,22 @@
 	c.now = until
 }
 
+func (c *cluster) logReachable(n *testNode) bool { return !c.logDown && !c.logCut(n.member.Node.Host) }
+
 func (c *cluster) readLog(n *testNode) {
-	if c.logDown {
+	if !c.logReachable(n) {
 		c.step(n, &LogFailed{Err: logservice.ErrUnavailable})
 		return
 	}
 	asked, from := c.now-n.start, n.LogOffset()
-	page := logservice.Page{Head: uint64(len(c.log))}
+	if from < c.logFirst {
+		c.step(n, &LogFailed{Err: &logservice.ErrTruncated{First: c.logFirst}})
+		if len(c.snapshots) > 0 {
+			c.step(n, &SnapshotRead{Data: c.snapshots[len(c.snapshots)-1]})
+		}
+		return
+	}
+	page := logservice.Page{First: c.logFirst, Head: uint64(len(c.log))}
 	for offset := from; offset < page.Head; offset++ {
 		page.Records = append(page.Records, logservice.Record{Offset: offset, Data: c.log[offset]})
 	}
@@ -243,7 +328,14 @@
 		c.at(n.pausedTo-c.now, func() { c.step(n, ev) })
 		return
 	}
-	for _, e := range n.Step(c.now-n.start, ev, nil) {
+	effects := n.Step(c.now-n.start, ev, nil)
+	if c.stepped != nil {
+		c.stepped(n, ev)
+	}
+	for _, e := range effects {
+		if c.effect != nil {
+			c.effect(n, e)
+		}
 		c.execute(n, e)
 	}
 }
@@ -252,8 +344,10 @@
 	switch e.Kind {
 	case Send:
 		c.send(n, e)
-	case Append:
+	case Append, AppendSnapshot:
 		c.appendFor(n, e)
+	case Cancel:
+		c.cancel(n, e)
 	case Forward:
 		c.forward(n, e)
 	case Run:
@@ -281,17 +375,31 @@
 	if c.random.Float64() < c.lossy {
 		return
 	}
-	c.at(networkDelay, func() { c.step(to, &PeerReceived{Envelope: e.Envelope}) })
+	copies := 1
+	if c.random.Float64() < c.doubled {
+		copies = 2
+	}
+	for range copies {
+		delay := networkDelay
+		if c.jitter > 0 {
+			delay += time.Duration(c.random.Int64N(int64(c.jitter)))
+		}
+		c.at(delay, func() { c.step(to, &PeerReceived{Envelope: e.Envelope}) })
+	}
 }
 
 func (c *cluster) appendFor(n *testNode, e Effect) {
-	if c.logDown {
+	if !c.logReachable(n) {
 		c.at(networkDelay, func() { c.step(n, &AppendEnded{Token: e.AppendID, Err: logservice.ErrUnavailable}) })
 		return
 	}
-	c.log = append(c.log, e.Data)
+	if e.Kind == AppendSnapshot {
+		c.snapshots = append(c.snapshots, e.Data)
+	} else {
+		c.log = append(c.log, e.Data)
+	}
 	var err error
-	if c.loseAck {
+	if c.random.Float64() < c.loseAck {
 		err = logservice.ErrUnknown
 	}
 	c.at(networkDelay, func() { c.step(n, &AppendEnded{Token: e.AppendID, Err: err}) })
@@ -306,19 +414,44 @@
 		})
 		return
 	}
+	id := c.newCall()
+	name := attemptName{e.Call, e.Attempt}
+	to.callers[id] = hopSource{n, e.Call, e.Attempt}
+	n.hops[name] = hopTarget{to, id}
+	if c.linked != nil {
+		c.linked(e.Call, id)
+	}
 	c.at(networkDelay, func() {
-		id := c.newCall()
-		to.callers[id] = hopSource{n, e.Call, e.Attempt}
+		if to.dead {
+			c.lose(to, id)
+			return
+		}
 		c.step(to, &HopArrived{Call: id, From: n.member.Node, Hop: e.Hop})
 	})
 }
 
+// cancel closes the connection of the current attempt of a call.
+func (c *cluster) cancel(n *testNode, e Effect) {
+	name := attemptName{e.Call, e.Attempt}
+	target, ok := n.hops[name]
+	if !ok {
+		return
+	}
+	delete(n.hops, name)
+	delete(target.node.callers, target.call)
+	c.at(networkDelay, func() { c.step(target.node, &CallGone{Call: target.call}) })
+}
+
 func (c *cluster) newCall() mesh.CallID {
 	c.nextCall++
 	return c.nextCall
 }
 
 func (c *cluster) runUpstream(n *testNode, e Effect) {
+	if c.upstream != nil {
+		c.upstream(n, e)
+		return
+	}
 	c.runs[e.Hop.Action]++
 	status := 200
 	if c.fail != nil {
@@ -326,39 +459,68 @@
 			status = s
 		}
 	}
-	c.at(c.service, func() {
-		c.step(n, &Answered{Call: e.Call, Attempt: e.Attempt, Status: status, Replayable: true})
-	})
+	c.at(c.service, func() { c.answer(n, e, status) })
+}
+
+// answer is the answer of the upstream to a run.
+func (c *cluster) answer(n *testNode, e Effect, status int) {
+	c.status[e.Call] = status
+	c.step(n, &Answered{Call: e.Call, Attempt: e.Attempt, Status: status, Replayable: true})
 }
 
 // finish delivers the end of a call to the node or customer it came from.
 func (c *cluster) finish(n *testNode, e Effect, result end) {
 	source, forwarded := n.callers[e.Call]
-	if !forwarded {
-		c.ends[callName{n.member.Node.Host, e.Call}] = result
+	whole := true
+	if forwarded {
+		whole = c.finishHop(n, e, result, source)
 	} else {
-		delete(n.callers, e.Call)
-		answer := &Answered{Call: source.call, Attempt: source.attempt, Status: 200, Load: e.Load, Replayable: true}
-		if !result.whole {
-			answer.Refusal = &result.refusal
+		if e.Kind == Relay {
+			whole = !c.cutBody()
+			result.whole = whole
 		}
-		c.at(networkDelay, func() {
-			if !n.dead {
-				c.step(source.node, answer)
-			}
-		})
+		if _, ended := c.ends[callName{n.member.Node.Host, e.Call}]; ended {
+			c.t.Errorf("call %d at %s ended twice", e.Call, n.member.Node.Host)
+		}
+		c.ends[callName{n.member.Node.Host, e.Call}] = result
 	}
 	if e.Kind == Relay {
 		c.at(networkDelay, func() {
-			ended := &RelayEnded{Call: e.Call, Attempt: e.Attempt, Whole: true}
-			if e.Store {
-				ended.Stored = &Answer{Status: 200}
+			ended := &RelayEnded{Call: e.Call, Attempt: e.Attempt, Whole: whole}
+			if e.Store && whole {
+				ended.Stored = &Answer{Status: c.status[e.Call]}
 			}
 			c.step(n, ended)
 		})
 	}
 }
 
+// finishHop delivers the end of a forwarded call to the node that sent it, and
+// reports whether the answer got through.
+func (c *cluster) finishHop(n *testNode, e Effect, result end, source hopSource) bool {
+	if c.cut(n.member.Node.Host, source.node.member.Node.Host) || result.whole && c.loseAnswer() {
+		c.lose(n, e.Call)
+		return false
+	}
+	delete(n.callers, e.Call)
+	delete(source.node.hops, attemptName{source.call, source.attempt})
+	answer := &Answered{Call: source.call, Attempt: source.attempt, Status: 200, Load: e.Load, Replayable: true}
+	if e.Kind == Relay {
+		answer.Status = c.status[e.Call]
+	}
+	if e.Kind == Replay {
+		answer.Status = e.Answer.Status
+	}
+	if !result.whole {
+		answer.Refusal = &result.refusal
+	}
+	c.at(networkDelay, func() {
+		c.status[source.call] = answer.Status
+		c.step(source.node, answer)
+	})
+	return true
+}
+
 // call sends a customer call to a node and returns its name.
 func (c *cluster) call(n *testNode, ws mesh.Workspace, method, path, ticket string) callName {
 	id := c.newCall()
