--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -321,5 +321,6 @@
 		return st.shares[index]
 	}
 	next.Predecessor = st.shares[index].Holder
+	next.PredecessorEpoch = st.shares[index].Epoch
 	return next
 }
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -58,9 +58,11 @@
 	// Predecessor held this share before; zero if First, or if the number of
 	// shares changed, so that parts of several shares were joined or split.
 	Predecessor mesh.NodeID `json:"predecessor,omitzero"`
-	Epoch       uint64      `json:"epoch"`  // of the record that gave the share to Holder
-	Offset      uint64      `json:"offset"` // of that record
-	First       bool        `json:"first,omitempty"`
+	// PredecessorEpoch is the epoch at which Predecessor held it; 0 without one.
+	PredecessorEpoch uint64 `json:"predecessor_epoch,omitempty"`
+	Epoch            uint64 `json:"epoch"`  // of the record that gave the share to Holder
+	Offset           uint64 `json:"offset"` // of that record
+	First            bool   `json:"first,omitempty"`
 }
 
 // version tells which record gave an object its present value.
--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -281,13 +281,27 @@
 	}
 	for i := range holders {
 		if holders[i] == (mesh.NodeID{}) {
-			holders[i] = firstUnused(members, used)
+			holders[i] = firstUnused(n.afterStop(current, i, members), used)
 			used[holders[i]] = true
 		}
 	}
 	return holders
 }
 
+// afterStop puts the successor of a holder that stopped as planned in front: the
+// holder has released its shares to that node, which need not wait.
+func (n *Node) afterStop(current []config.Share, index int, ranked []mesh.Member) []mesh.Member {
+	if index >= len(current) {
+		return ranked
+	}
+	successor, _ := n.state.Departed(current[index].Holder)
+	i := slices.IndexFunc(ranked, func(m mesh.Member) bool { return m.Node == successor })
+	if i < 0 {
+		return ranked
+	}
+	return slices.Insert(slices.Delete(slices.Clone(ranked), i, i+1), 0, ranked[i])
+}
+
 // firstUnused returns the best ranked member without a share, or the best
 // ranked one if all have one.
 func firstUnused(ranked []mesh.Member, used map[mesh.NodeID]bool) mesh.NodeID {
--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -254,6 +254,24 @@
 	}
 }
 
+// stop begins a planned stop.
+func (c *cluster) stop(n *testNode) {
+	n.leaving = c.now
+	c.step(n, &StopRequested{})
+}
+
+// living returns the nodes that run, by host.
+func (c *cluster) living() []*testNode {
+	var nodes []*testNode
+	for _, n := range c.order {
+		if !n.dead {
+			nodes = append(nodes, n)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b *testNode) int { return cmp.Compare(a.member.Node.Host, b.member.Node.Host) })
+	return nodes
+}
+
 // lose breaks the connection on which a call was forwarded to a node. The
 // caller cannot know whether the call ran.
 func (c *cluster) lose(n *testNode, id mesh.CallID) {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -273,7 +273,7 @@
 	out := make([]quota.Share, len(shares))
 	for i, s := range shares {
 		out[i] = quota.Share{Workspace: s.Workspace, Index: s.Index, Count: s.Count, Holder: s.Holder,
-			Epoch: s.Epoch, Offset: s.Offset, First: s.First}
+			Epoch: s.Epoch, Offset: s.Offset, First: s.First, PredecessorEpoch: s.PredecessorEpoch}
 	}
 	return out
 }
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -34,7 +34,6 @@
 	}
 	n.control.successor = successor.Node
 	n.tickets.Close(now, successor.Node)
-	n.envelopes = n.quota.HandOver(now, successor.Node, n.envelopes)
 }
 
 // stopIfDone ends a planned stop once nothing is in flight.
@@ -60,6 +59,9 @@
 	n.control.handedOver = true
 	n.control.lingerUntil = now + stopLinger
 	h := n.tickets.Seal(now)
+	if !n.control.successor.IsZero() {
+		n.envelopes = n.quota.HandOver(now, n.control.successor, n.envelopes)
+	}
 	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
 	n.envelopes = n.members.Leave(now, n.control.successor, n.envelopes)
 	n.proposeOnce(now, "leave", func(h config.Header) ([]byte, error) {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -405,7 +405,7 @@
 			kept = append(kept, r) // the record is not folded yet
 			continue
 		}
-		if h.active || h.share.Epoch != r.Epoch+1 || r.Count > h.share.Count {
+		if h.active || h.share.PredecessorEpoch != r.Epoch || r.Count > h.share.Count {
 			continue // Activate decides; a share that grows waits for the others too
 		}
 		h.active = true
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -98,14 +98,14 @@
 	if h.Take(5*time.Second, ws, 1) == Taken {
 		t.Fatal("the share was used after it was released")
 	}
-	c := ledgerOf(third, Share{Workspace: ws, Count: 1, Holder: third, Epoch: 2})
+	c := ledgerOf(third, Share{Workspace: ws, Count: 1, Holder: third, Epoch: 20, PredecessorEpoch: 1})
 	for range 2 { // duplicated
 		c.Deliver(5*time.Second, holder, out[len(out)-1].Message, nil)
 	}
 	if n := takeAll(c, 5*time.Second); n != 20 {
 		t.Fatalf("the successor took %d calls, want the 20 left", n)
 	}
-	skipped := ledgerOf(third, Share{Workspace: ws, Count: 1, Holder: third, Epoch: 3})
+	skipped := ledgerOf(third, Share{Workspace: ws, Count: 1, Holder: third, Epoch: 30, PredecessorEpoch: 20})
 	skipped.Deliver(5*time.Second, holder, out[len(out)-1].Message, nil)
 	if len(skipped.Inactive()) != 1 {
 		t.Fatal("a release from an epoch with a holder in between was accepted")
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -45,6 +45,9 @@
 	Epoch     uint64
 	Offset    uint64 // of the record that assigned it
 	First     bool   // no share of the workspace ever had a holder
+	// PredecessorEpoch is the epoch of the holder before, 0 if there was none or
+	// the number of shares has changed. Epochs grow but are not consecutive.
+	PredecessorEpoch uint64
 }
 
 // ShareCount returns the number of shares for a burst on so many nodes.
