--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -123,8 +123,8 @@
 }
 
 // refuseEarly answers a call for which no state was created.
-func (n *Node) refuseEarly(now time.Duration, id mesh.CallID, r outcome.Reason, retryAfter time.Duration) {
-	n.emit(Effect{Kind: Refuse, Call: id, Refusal: n.refusal(outcome.NotRun, r, retryAfter)})
+func (n *Node) refuseEarly(now time.Duration, id mesh.CallID, e outcome.Execution, r outcome.Reason, retryAfter time.Duration) {
+	n.emit(Effect{Kind: Refuse, Call: id, Refusal: n.refusal(e, r, retryAfter)})
 	n.recordEvent(now, timeline.Event{Kind: timeline.Refused, Reason: r})
 }
 
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -40,12 +40,16 @@
 func (n *Node) callArrived(now time.Duration, ev *CallArrived) {
 	workspace, reason := n.authenticate(now, ev.Secret)
 	if reason != outcome.None {
-		n.refuseEarly(now, ev.Call, reason, retryAfterOf(reason))
+		n.refuseArrival(now, ev, reason)
 		return
 	}
 	route, ok := n.routes.match(ev.Method, ev.Path)
 	if !ok {
-		n.refuseEarly(now, ev.Call, outcome.NoRoute, 0)
+		n.refuseArrival(now, ev, outcome.NoRoute)
+		return
+	}
+	if n.control.handedOver && ev.Ticket == "" {
+		n.refuseArrival(now, ev, outcome.Draining)
 		return
 	}
 	c := n.newCall(now, ev.Call, fromCaller)
@@ -67,6 +71,16 @@
 	n.admit(now, c)
 }
 
+// refuseArrival refuses a call before its ticket was looked up. An earlier call
+// with the same ticket may have run, so "not run" would not be true for it.
+func (n *Node) refuseArrival(now time.Duration, ev *CallArrived, r outcome.Reason) {
+	execution := outcome.NotRun
+	if ev.Ticket != "" {
+		execution = outcome.MayHaveRun
+	}
+	n.refuseEarly(now, ev.Call, execution, r, retryAfterOf(r))
+}
+
 // admit checks a call against the load of its service and its workspace's rate.
 func (n *Node) admit(now time.Duration, c *call) {
 	if !n.routing.Cut(now, c.service).Admits(c.class, c.action) {
@@ -96,7 +110,7 @@
 		reason = outcome.Draining
 	}
 	if reason != outcome.None {
-		n.refuseEarly(now, ev.Call, reason, retryAfterOf(reason))
+		n.refuseEarly(now, ev.Call, outcome.NotRun, reason, retryAfterOf(reason))
 		return
 	}
 	n.emit(Effect{Kind: IssueTicket, Call: ev.Call, Ticket: n.tickets.Issue(now, workspace)})
@@ -201,16 +215,16 @@
 func (n *Node) childArrived(now time.Duration, ev *ChildArrived) {
 	parent := n.running[ev.ParentToken]
 	if parent == nil || parent.phase != waitsForUpstream {
-		n.refuseEarly(now, ev.Call, outcome.ParentUnknown, 0)
+		n.refuseEarly(now, ev.Call, outcome.NotRun, outcome.ParentUnknown, 0)
 		return
 	}
 	edge, ok := n.edges[edgeKey{parent.service, ev.Service}]
 	if !ok || parent.depth+1 > MaxDepth {
-		n.refuseEarly(now, ev.Call, outcome.EdgeUndeclared, 0)
+		n.refuseEarly(now, ev.Call, outcome.NotRun, outcome.EdgeUndeclared, 0)
 		return
 	}
 	if _, ok := parent.pool.Child(edge.index, edge.callsPerParent); !ok && n.cfg.Policy != admission.PolicyNone {
-		n.refuseEarly(now, ev.Call, outcome.RetriesExhausted, 0)
+		n.refuseEarly(now, ev.Call, outcome.NotRun, outcome.RetriesExhausted, 0)
 		return
 	}
 	c := n.newCall(now, ev.Call, fromUpstream)
--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
 )
 
 // holderOf returns the node that holds a workspace's first share.
@@ -27,3 +29,26 @@
 		t.Fatalf("%s waits for %v", next.member.Node, waiting)
 	}
 }
+
+// Guards against "not run" for a repeated order that has run, from a node that
+// refuses the call before it can look up the ticket.
+func TestRefusalBeforeTicketLookup(t *testing.T) {
+	c := testCluster(t, 21)
+	first := c.order[0]
+	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
+	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	if got := c.call1(first, "anna", "POST", "/orders", ticket); !got.whole {
+		t.Fatalf("order: %+v", got)
+	}
+	c.step(first, &KeyWithdrawn{ID: strings.Split(c.secrets["anna"], "_")[1]})
+	isolated := c.order[1]
+	c.logDown = true
+	c.cut = func(a, b mesh.Host) bool { return a == isolated.member.Node.Host || b == isolated.member.Node.Host }
+	c.run(3 * time.Second)
+	for _, n := range []*testNode{first, isolated} {
+		got := c.call1(n, "anna", "POST", "/orders", ticket)
+		if got.whole || got.refusal.Execution != outcome.MayHaveRun {
+			t.Errorf("%s answers %+v, want may-have-run", n.member.Node, got)
+		}
+	}
+}
