--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -56,7 +56,7 @@
 
 // proposeOnce proposes a record unless the same task has one under way.
 func (n *Node) proposeOnce(now time.Duration, task string, build func(config.Header) ([]byte, error)) {
-	if token := n.control.tasks[task]; token != "" && n.control.proposals[token] != nil {
+	if n.control.tasks[task] != "" {
 		return
 	}
 	h := config.Header{By: n.cfg.Self.Node, At: time.Unix(0, n.wall(now)), After: n.state.Offset()}
@@ -68,8 +68,9 @@
 		panic(errors.Wrapf(err, "record for task %q", task)) // all inputs are folded state
 	}
 	token := h.Token.String()
-	n.control.tasks[task] = token
 	n.propose(now, token, data, false)
+	n.control.tasks[task] = token
+	n.control.proposals[token].task = task
 }
 
 // assigns reports whether this node ranks first for a task among the members
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -24,6 +24,7 @@
 // proposal is a record that this node has asked the log to append.
 type proposal struct {
 	token     string
+	task      string // the assignment task it belongs to, or empty
 	id        config.Token
 	data      []byte
 	operator  bool // an operator waits for the decision
@@ -45,6 +46,14 @@
 	n.emit(Effect{Kind: Append, AppendID: token, Data: data})
 }
 
+// forget removes a proposal that has been decided or given up.
+func (n *Node) forget(p *proposal) {
+	delete(n.control.proposals, p.token)
+	if n.control.tasks[p.task] == p.token {
+		delete(n.control.tasks, p.task)
+	}
+}
+
 func (n *Node) appendEnded(now time.Duration, ev *AppendEnded) {
 	p := n.control.proposals[ev.Token]
 	if p == nil || ev.Err == nil {
@@ -55,7 +64,7 @@
 		p.unknownAt = now
 		return
 	}
-	delete(n.control.proposals, ev.Token)
+	n.forget(p)
 	n.reject(p, fmt.Sprintf("the log did not take the record: %v", ev.Err))
 }
 
@@ -75,7 +84,7 @@
 	for _, token := range sortedTokens(n.control.proposals) {
 		p := n.control.proposals[token]
 		if now >= p.deadline {
-			delete(n.control.proposals, token)
+			n.forget(p)
 			n.reject(p, "the log has not confirmed the record; it may still take effect")
 		}
 	}
@@ -89,7 +98,7 @@
 		if !found {
 			continue
 		}
-		delete(n.control.proposals, token)
+		n.forget(p)
 		n.decided(p, verdict, offset)
 	}
 }
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -125,10 +125,14 @@
 			n.admission.Gone(now, step.Call)
 			continue
 		}
-		if step.Decision == admission.Run {
+		if step.Decision == admission.Run && !n.members.Local(now).Lapsed {
 			n.run(now, c)
 			continue
 		}
+		if step.Decision == admission.Run {
+			n.admission.Gone(now, step.Call)
+			step.Reason = outcome.Draining
+		}
 		n.refusedLocally(now, c, step.Reason)
 	}
 }
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -47,6 +47,9 @@
 		}
 		return
 	}
+	if len(n.calls) > 0 && now < n.control.stopBy {
+		return // calls that were redirected here meanwhile
+	}
 	taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
 	waited := now >= n.control.lingerUntil+handoverLimit
 	if now >= n.control.lingerUntil && (taken || waited || n.control.successor.IsZero()) {
