--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -32,7 +32,8 @@
 // Options configures a mesh.
 type Options struct {
 	Deployment  string
-	Declaration *declaration.Mesh // replaces the deployment's if not nil
+	Declaration *declaration.Mesh    // replaces the deployment's if not nil
+	Upstreams   []examples.Upstreams // replaces the deployment's if not nil
 	Policy      admission.Policy
 	Seed        uint64
 	TLS         bool // on the caller and peer listeners
@@ -40,6 +41,8 @@
 	Operators   func(*process.Process) http.Handler
 	// Upstream adjusts the configuration of one stand-in upstream.
 	Upstream func(*upstream.Config)
+	// Serve may wrap the handler of a host's upstream.
+	Serve func(*Host, http.Handler) http.Handler
 	// LogDelay is added to every request to the log service.
 	LogDelay time.Duration
 	// Appends is the ceiling of the log service; zero means its default.
@@ -59,6 +62,7 @@
 	random    *rand.Rand
 	authority *devtls.Authority
 	logServer *http.Server
+	transport *http.Transport // of client
 	client    logservice.Client
 }
 
@@ -73,6 +77,9 @@
 		Keys:   make(map[mesh.Workspace]string),
 		random: rand.New(rand.NewPCG(o.Seed, 0)),
 	}
+	if o.Upstreams != nil {
+		m.Deployment.Upstreams = o.Upstreams
+	}
 	if m.Declaration == nil {
 		if m.Declaration, err = declaration.Parse(deployment.Declaration); err != nil {
 			return nil, err
@@ -111,6 +118,9 @@
 	return m.awaitServing(ctx)
 }
 
+// maxHosts is the number of hosts whose connections to the log are kept.
+const maxHosts = 32
+
 func (m *Mesh) startLog() error {
 	m.Log = logserver.New(logserver.Config{AppendsPerSecond: m.options.Appends})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -120,7 +130,9 @@
 	m.LogURL = "http://" + listener.Addr().String()
 	m.logServer = &http.Server{Handler: m.Log.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = m.logServer.Serve(listener) }() // ends with Close
-	m.client = logservice.NewHTTPClient(m.LogURL, http.DefaultTransport)
+	// Every node of the mesh has a read and an append under way.
+	m.transport = &http.Transport{MaxIdleConnsPerHost: 2 * maxHosts}
+	m.client = logservice.NewHTTPClient(m.LogURL, m.transport)
 	return m.Log.SetFault(logserver.Fault{DelayMs: int(m.options.LogDelay.Milliseconds())})
 }
 
@@ -190,14 +202,26 @@
 }
 
 // Stop stops every node gracefully; it cuts off no request unless ctx ends.
+// Callers of a service stop before it: calls in flight still need the services
+// below them.
 func (m *Mesh) Stop(ctx context.Context) error {
+	var failed error
+	for _, hosts := range m.layers() {
+		if err := stopHosts(ctx, hosts); failed == nil {
+			failed = err
+		}
+	}
+	m.Kill()
+	return failed
+}
+
+func stopHosts(ctx context.Context, hosts []*Host) error {
 	var wait sync.WaitGroup
-	failures := make([]error, len(m.Hosts))
-	for i, h := range m.Hosts {
+	failures := make([]error, len(hosts))
+	for i, h := range hosts {
 		wait.Go(func() { failures[i] = h.Stop(ctx) })
 	}
 	wait.Wait()
-	m.Kill()
 	for _, err := range failures {
 		if err != nil {
 			return err
@@ -206,6 +230,23 @@
 	return nil
 }
 
+// layers groups the hosts by the longest chain of declared calls that leads to
+// their service. Declared calls have no cycle.
+func (m *Mesh) layers() [][]*Host {
+	depth := make(map[mesh.Service]int)
+	for range m.Declaration.Services {
+		for _, e := range m.Declaration.Edges {
+			depth[e.To] = max(depth[e.To], depth[e.From]+1)
+		}
+	}
+	layers := make([][]*Host, len(m.Declaration.Services)+1)
+	for _, h := range m.Hosts {
+		d := depth[h.Group.Service]
+		layers[d] = append(layers[d], h)
+	}
+	return layers
+}
+
 // Kill ends everything at once.
 func (m *Mesh) Kill() {
 	for _, h := range m.Hosts {
@@ -213,6 +254,7 @@
 	}
 	if m.logServer != nil {
 		_ = m.logServer.Close() // only closes sockets
+		m.transport.CloseIdleConnections()
 	}
 }
 
--- a/internal/dev/host.go
+++ b/internal/dev/host.go
@@ -136,7 +136,11 @@
 	}
 	address := listener.Addr().String()
 	h.UpstreamURL = "http://" + address
-	h.server = &http.Server{Handler: h.Upstream, ReadHeaderTimeout: 10 * time.Second}
+	var handler http.Handler = h.Upstream
+	if h.mesh.options.Serve != nil {
+		handler = h.mesh.options.Serve(h, handler)
+	}
+	h.server = &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = h.server.Serve(listener) }() // ends with Close
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- /dev/null
+++ b/internal/dev/stop_test.go
@@ -0,0 +1,214 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/outcome"
+)
+
+// checkPlanned checks calls that were made while nodes stopped as planned.
+func (b *bench) checkPlanned(results []result, stopped ...*Host) {
+	b.t.Helper()
+	closed := map[string]bool{}
+	for _, h := range stopped {
+		closed[h.Member.CallerAddress] = true
+	}
+	answered, refused, unconnected, bad := 0, 0, 0, 0
+	for _, r := range results {
+		ran := b.arrived(r.marker)
+		switch {
+		case errors.Is(r.err, syscall.ECONNREFUSED) && closed[r.target] && ran == 0:
+			unconnected++
+		case r.err == nil && r.status == http.StatusOK && r.body == "done\n" && ran == 1:
+			answered++
+		case r.err == nil && r.refusal != nil && r.refusal.Execution == outcome.NotRun && ran == 0:
+			refused++
+		default:
+			if bad++; bad <= 5 {
+				b.t.Errorf("ran %d times: %s", ran, r)
+			}
+		}
+	}
+	b.t.Logf("answered %d, refused %d, not connected %d, wrong %d", answered, refused, unconnected, bad)
+}
+
+// Guards against a planned stop of one node that cuts off requests at its own
+// listeners, at the entry nodes that use it, or that runs a call it refuses.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	b := startMesh(t, nil)
+	l := b.startLoad(b.Hosts...)
+	l.more(200)
+	if err := b.Hosts[0].Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	l.more(200)
+	b.checkPlanned(l.stop(), b.Hosts[0])
+}
+
+// Guards against a stop of the whole mesh, as by SIGINT in dev, that cuts off
+// requests because parts stop in the wrong order.
+func TestMeshStopUnderLoad(t *testing.T) {
+	b := startMesh(t, nil)
+	l := b.startLoad(b.Hosts...)
+	l.more(200)
+	if err := b.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	b.checkPlanned(l.stop(), b.Hosts...)
+}
+
+// Guards against goroutines that outlive a stopped or killed mesh.
+func TestNoGoroutineIsLeft(t *testing.T) {
+	ours := func() string {
+		buffer := make([]byte, 1<<20)
+		var left []string
+		for g := range strings.SplitSeq(string(buffer[:runtime.Stack(buffer, true)]), "\n\n") {
+			own := strings.Contains(g, "cardamomhatch/") || strings.Contains(g, "net/http.(*persistConn)")
+			if own && !strings.Contains(g, "testing.") {
+				left = append(left, g)
+			}
+		}
+		return strings.Join(left, "\n\n")
+	}
+	for _, stop := range []func(*bench){
+		func(b *bench) {
+			if err := b.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		},
+		func(b *bench) { b.Kill() },
+	} {
+		b := startMesh(t, nil)
+		c := b.client()
+		for _, h := range b.Hosts {
+			if r := b.get(c, h, "/items/1", "m"); r.status != http.StatusOK {
+				t.Error(r)
+			}
+		}
+		c.CloseIdleConnections()
+		stop(b)
+		left := ""
+		for range 2000 {
+			if left = ours(); left == "" {
+				break
+			}
+			runtime.Gosched()
+			syscall.Nanosleep(&syscall.Timespec{Nsec: 1e6}, nil)
+		}
+		if left != "" {
+			t.Errorf("goroutines left:\n%s", left)
+		}
+	}
+}
+
+// Guards against a drain that cuts off calls in flight or lets new ones start.
+func TestDrainWithCallsInFlight(t *testing.T) {
+	b := startMesh(t, nil)
+	release := make(chan struct{})
+	b.setHandler(func(_ *Host, _ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Query().Has("hold") {
+			<-release
+		}
+		return false
+	})
+	const held = 6
+	results := make([]result, held)
+	var wait sync.WaitGroup
+	for i := range held {
+		wait.Go(func() { results[i] = b.get(b.client(), b.Hosts[3], "/items/1?hold", string(rune('a'+i))) })
+	}
+	for i := range held {
+		b.eventually("calls are held", func() bool { return b.arrived(string(rune('a'+i))) == 1 })
+	}
+	drained := b.hostOf("a")
+	drained.Process.Step(&engine.DrainRequested{})
+	c := b.client()
+	for range 50 {
+		r := b.get(c, b.Hosts[4], "/items/1", "new")
+		if r.status != http.StatusOK || b.hostOf("new") == drained {
+			t.Errorf("after the drain of %s: %s, ran at %s", drained.Name, r, b.hostOf("new").Name)
+		}
+	}
+	close(release)
+	wait.Wait()
+	for _, r := range results {
+		if r.err != nil || r.status != http.StatusOK || b.arrived(r.marker) != 1 {
+			t.Errorf("held call: %s, ran %d times", r, b.arrived(r.marker))
+		}
+	}
+}
+
+// Guards against a killed node that makes a non-idempotent call run twice, an
+// idempotent one fail, or a refusal untrue.
+func TestKillUnderLoad(t *testing.T) {
+	b := startMesh(t, nil)
+	l := b.startLoad(b.Hosts[3], b.Hosts[4])
+	l.more(100)
+	var held sync.Map
+	b.setHandler(func(h *Host, _ http.ResponseWriter, r *http.Request) bool {
+		if h == b.Hosts[0] && r.URL.Query().Has("hold") {
+			held.Store(r.Header.Get("Idempotency-Marker"), true)
+			<-r.Context().Done()
+		}
+		return false
+	})
+	var reads, orders []result
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	// Some of these calls reach the host that will be killed.
+	isHeld := func(marker string) bool { _, ok := held.Load(marker); return ok }
+	heldRead, heldOrder := 0, 0
+	for i := 0; heldRead == 0 || heldOrder == 0; i++ {
+		read, order := "read-"+string(rune('a'+i)), "order-"+string(rune('a'+i))
+		for _, marker := range []string{read, order} {
+			wait.Go(func() {
+				var r result
+				if marker == read {
+					r = b.get(b.client(), b.Hosts[3], "/items/1?hold", marker)
+				} else {
+					r = send(b.client(), b.request("POST", b.Hosts[3].CallerURL+"/orders?hold", marker, strings.NewReader("x")))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if marker == read {
+					reads = append(reads, r)
+				} else {
+					orders = append(orders, r)
+				}
+			})
+			b.eventually("call arrives", func() bool { return b.arrived(marker) == 1 })
+			b.eventually("call is held or elsewhere", func() bool { return b.hostOf(marker) != b.Hosts[0] || isHeld(marker) })
+		}
+		if isHeld(read) {
+			heldRead++
+		}
+		if isHeld(order) {
+			heldOrder++
+		}
+	}
+	b.Hosts[0].Kill()
+	wait.Wait()
+	l.more(100)
+	for _, r := range reads {
+		if r.status != http.StatusOK {
+			t.Errorf("read: %s", r)
+		}
+	}
+	for _, r := range append(orders, l.stop()...) {
+		ran := b.arrived(r.marker)
+		idempotent := r.method == "GET"
+		truthful := r.err == nil && (r.status == http.StatusOK && ran > 0 ||
+			r.refusal != nil && (r.refusal.Execution == outcome.NotRun && ran == 0 || r.refusal.Execution == outcome.MayHaveRun && !idempotent))
+		if !truthful || ran > 1 && !idempotent {
+			t.Errorf("ran %d times: %s", ran, r)
+		}
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -33,6 +33,11 @@
 	Operators func(*Process) http.Handler
 }
 
+// lameDuck is how long a stopping process answers on open connections with
+// Connection: close before it closes them. The engine passes the same time
+// with its handover, so it does not lengthen a stop.
+const lameDuck = 500 * time.Millisecond
+
 // Process is one running node process.
 type Process struct {
 	Self    mesh.Member
@@ -71,6 +76,7 @@
 		Log:       cfg.Log,
 		Truncated: truncated,
 		Decided:   p.decisions.decided,
+		LameDuck:  lameDuck,
 		Metrics:   p.Metrics,
 		Logger:    cfg.Logger,
 		Seed:      uint64(cfg.Self.Node.Incarnation),
