--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -18,6 +18,7 @@
 	Failed           // the upstream answered with an error, or not in time
 	Refused          // the serving node or its upstream refused the call for load
 	Lost             // no connection, or the connection broke
+	NotServing       // the node takes no work: its upstream drains or is absent
 	Cancelled        // the caller gave up; says nothing about the node
 )
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -91,6 +91,25 @@
 // goalRefused is the goal for calls refused within the rate under faults.
 const goalRefused = 0.01
 
+// Guards against a draining node that stays in the choice, because refusing is
+// fast or because it still answers the calls that it had before.
+func TestDrainingNodeIsLeftOut(t *testing.T) {
+	const drainAt = time.Second
+	draining := func(now time.Duration, _ int) Sample {
+		if now < drainAt {
+			return healthy(now, 0)
+		}
+		return Sample{Latency: ms, Result: NotServing}
+	}
+	table, list, nodes := setup(3)
+	slower := func(time.Duration, int) Sample { return Sample{Latency: 5 * latency} }
+	nodes[0], nodes[1], nodes[2] = draining, slower, slower
+	_, failures := drive(t, table, list, nodes, 0, 3*time.Second)
+	if failures[0] > 10 { // the reserve of retries of an edge
+		t.Errorf("%d calls were sent to the draining node", failures[0])
+	}
+}
+
 // Guards against an upstream that fails fast attracting work because it looks
 // idle, and against a dead node that is only noticed by a timer.
 func TestFailingNodeGetsLittleWork(t *testing.T) {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -40,6 +40,7 @@
 	failures   int // failures and lost attempts since the last answer
 	suspended  time.Duration
 	suspension time.Duration // length of the last suspension
+	notServing bool          // suspended by its own word
 	report     float64       // factor from the last report, at least 1
 	reportAt   time.Duration
 }
@@ -63,6 +64,9 @@
 		if n.failures >= failuresInRow {
 			n.suspend(now)
 		}
+	case NotServing:
+		n.notServing = true
+		n.suspend(now)
 	case Lost:
 		n.failures++
 		n.penalty = min(n.penalty+failedPenalty, maxPenalty)
@@ -80,6 +84,10 @@
 	n.latency += latencyGain * (float64(latency) - n.latency)
 	n.penalty *= okPenaltyFactor
 	n.failures = 0
+	if n.notServing && now-latency < n.suspended-n.suspension {
+		return // sent before the suspension: a draining node still finishes its calls
+	}
+	n.notServing = false
 	n.suspension = 0
 	n.suspended = 0
 }
