--- a/internal/engine/node_test.go
+++ b/internal/engine/node_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// Guards against a planned stop that waits for the handover to a successor
+// that has ended itself, as when a whole mesh stops.
+func TestStopWithDeadSuccessor(t *testing.T) {
+	c := testCluster(t, 6)
+	for _, n := range c.order[1:] {
+		c.kill(n)
+	}
+	c.step(c.order[0], &StopRequested{})
+	c.run(3 * time.Second)
+	if !c.order[0].dead {
+		t.Fatal("the node has not stopped within 3 s")
+	}
+}
+
 // Guards against "not run, over-rate" for a repeated order that has run.
 func TestRepeatedOrderIsAnsweredOverTheRate(t *testing.T) {
 	c := testCluster(t, 7)
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -14,6 +14,10 @@
 // its tickets.
 const handoverLimit = 5 * time.Second
 
+// successorGone is how long a successor must be unreachable until a stopping
+// node gives the handover up: nodes that stop together choose each other.
+const successorGone = time.Second
+
 // stopLinger is how long a stopped node goes on sending tickets and releases,
 // and redirecting calls, so that its peers learn of its successor.
 const stopLinger = 500 * time.Millisecond
@@ -48,14 +52,22 @@
 		}
 		return
 	}
-	taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
-	waited := now >= n.control.lingerUntil+handoverLimit
-	if now >= n.control.lingerUntil && (taken || waited || n.control.successor.IsZero()) {
+	if now >= n.control.lingerUntil && n.handoverEnded(now) {
 		n.stopped = true
 		n.emit(Effect{Kind: Stopped})
 	}
 }
 
+// handoverEnded reports whether nothing is left to wait for. A refusal by the
+// successor is final too.
+func (n *Node) handoverEnded(now time.Duration) bool {
+	taken, _ := n.tickets.HandedOver()
+	waited := now >= n.control.lingerUntil+handoverLimit
+	since, unreachable := n.control.unreachable[n.control.successor]
+	gone := unreachable && now >= since+successorGone
+	return taken || waited || gone || n.control.successor.IsZero()
+}
+
 func (n *Node) handOver(now time.Duration) {
 	n.control.handedOver = true
 	n.control.lingerUntil = now + stopLinger
