--- a/internal/engine/node_test.go
+++ b/internal/engine/node_test.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// Guards against the same wait when the successor has left in order, while the
+// last call of this node was still in flight.
+func TestStopAfterSuccessor(t *testing.T) {
+	c := testCluster(t, 6)
+	c.service = 2 * time.Second
+	first := c.order[0]
+	c.call(first, "anna", "POST", "/orders", "")
+	c.run(100 * time.Millisecond)
+	for _, n := range c.order {
+		c.step(n, &StopRequested{})
+	}
+	c.run(4 * time.Second)
+	for _, n := range c.order {
+		if !n.dead {
+			t.Errorf("%s has not stopped within 4 s", n.member.Node)
+		}
+	}
+}
+
 // Guards against "not run, over-rate" for a repeated order that has run.
 func TestRepeatedOrderIsAnsweredOverTheRate(t *testing.T) {
 	c := testCluster(t, 7)
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -64,7 +64,8 @@
 	taken, _ := n.tickets.HandedOver()
 	waited := now >= n.control.lingerUntil+handoverLimit
 	since, unreachable := n.control.unreachable[n.control.successor]
-	gone := unreachable && now >= since+successorGone
+	_, known := n.members.Lookup(n.control.successor)
+	gone := !known || unreachable && now >= since+successorGone
 	return taken || waited || gone || n.control.successor.IsZero()
 }
 
