--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -313,7 +313,11 @@
 	}
 	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, r.Execution)
-	if c.redirected || c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
+	if c.redirected {
+		n.fail(now, c, r) // the owner of the ticket has decided
+		return
+	}
+	if c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
 		r.Execution = c.ranAs
 		n.fail(now, c, r)
 		return
