--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -51,10 +51,16 @@
 		}
 		return
 	}
+	if n.control.lingerUntil == 0 {
+		if n.handoverEnded(now) {
+			n.leave(now)
+		}
+		return
+	}
 	if len(n.calls) > 0 && now < n.control.stopBy {
 		return // calls that were redirected here meanwhile
 	}
-	if now >= n.control.lingerUntil && n.handoverEnded(now) {
+	if now >= n.control.lingerUntil {
 		n.stopped = true
 		n.emit(Effect{Kind: Stopped})
 	}
@@ -64,7 +70,7 @@
 // successor is final too.
 func (n *Node) handoverEnded(now time.Duration) bool {
 	taken, _ := n.tickets.HandedOver()
-	waited := now >= n.control.lingerUntil+handoverLimit
+	waited := now >= n.control.handoverBy
 	since, unreachable := n.control.unreachable[n.control.successor]
 	_, known := n.members.Lookup(n.control.successor)
 	gone := !known || unreachable && now >= since+successorGone
@@ -73,12 +79,18 @@
 
 func (n *Node) handOver(now time.Duration) {
 	n.control.handedOver = true
-	n.control.lingerUntil = now + stopLinger
+	n.control.handoverBy = now + handoverLimit
 	h := n.tickets.Seal(now)
 	if !n.control.successor.IsZero() {
 		n.envelopes = n.quota.HandOver(now, n.control.successor, n.envelopes)
 	}
 	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
+}
+
+// leave tells the others that this node has left. It comes after the answer to
+// the handover: the successor does not send to a node that has left.
+func (n *Node) leave(now time.Duration) {
+	n.control.lingerUntil = now + stopLinger
 	n.envelopes = n.members.Leave(now, n.control.successor, n.envelopes)
 	n.proposeOnce(now, "leave", func(h config.Header) ([]byte, error) {
 		return config.NewNodeLeft(h, n.cfg.Self.Node, n.control.successor)
