--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -25,6 +25,7 @@
 	cut      cutState
 	doomed   []Step // refusals not yet returned by Next
 	inFlight int
+	away     int // calls in flight that wait for downstream calls
 	slots    int // reported; zero means not reported
 	draining bool
 	standing [mesh.NumClasses]standing
@@ -111,7 +112,7 @@
 	f := c.queue.flowOf(r.Workspace)
 	c.cut.arrived++
 	c.countArrival(now, f, r.Class)
-	if c.queue.queued == 0 && c.inFlight < c.allowedFor(r.Class) {
+	if c.queue.queued == 0 && c.room(c.allowedFor(r.Class)) {
 		c.run(now, c.queue.add(r, f, now))
 		return Run, outcome.None
 	}
@@ -119,7 +120,7 @@
 		c.countRefusal(now, f, r.Class)
 		return Refuse, outcome.Overloaded
 	}
-	c.limiter.win.blocked = true
+	c.noteBlocked()
 	c.queue.push(c.queue.add(r, f, now))
 	return Queue, outcome.None
 }
@@ -215,11 +216,57 @@
 	call := &c.queue.calls[i]
 	call.running = true
 	call.at = now
-	call.inFlight = int32(c.inFlight)
+	call.inFlight = int32(c.busy())
 	c.cut.ran++
 	c.queue.charge(i)
 	c.standing[call.class].ran(now)
-	c.limiter.started(c.inFlight)
+	c.limiter.started(c.busy())
+}
+
+// busy returns the calls in flight that the limit counts. A call that waits for
+// downstream calls uses none of the upstream's own capacity, only one of its
+// slots: if it counted, a slower service below would need a higher limit, which
+// takes several latencies to learn.
+func (c *Controller) busy() int {
+	if c.cfg.Policy != PolicyFull {
+		return c.inFlight
+	}
+	return c.inFlight - c.away
+}
+
+// room reports whether a further call may run under the limit.
+func (c *Controller) room(limit int) bool {
+	return c.busy() < limit && (c.cfg.Policy != PolicyFull || c.inFlight < c.bound())
+}
+
+// noteBlocked records that a call has to wait for the limit, not for the slots.
+func (c *Controller) noteBlocked() {
+	if c.inFlight < c.bound() {
+		c.limiter.win.blocked = true
+	}
+}
+
+// left takes a running call out of the calls in flight.
+func (c *Controller) left(call *call) {
+	c.inFlight--
+	if call.away {
+		c.away--
+	}
+}
+
+// Downstream records that a running call begins or ends to wait for downstream
+// calls. After a begin, Next may return queued calls.
+func (c *Controller) Downstream(call mesh.CallID, waiting bool) {
+	i, ok := c.queue.index[call]
+	if !ok || !c.queue.calls[i].running || c.queue.calls[i].away == waiting {
+		return
+	}
+	c.queue.calls[i].away = waiting
+	if waiting {
+		c.away++
+		return
+	}
+	c.away--
 }
 
 // Done ends a call that ran. Next may return queued calls afterwards.
@@ -228,7 +275,7 @@
 	if !ok || !c.queue.calls[i].running {
 		return
 	}
-	c.inFlight--
+	c.left(&c.queue.calls[i])
 	c.learn(now, &c.queue.calls[i], s)
 	c.queue.remove(i)
 	c.tick(now)
@@ -254,7 +301,7 @@
 		return
 	}
 	if c.queue.calls[i].running {
-		c.inFlight--
+		c.left(&c.queue.calls[i])
 	} else {
 		c.queue.unlink(i)
 	}
@@ -282,8 +329,8 @@
 			return c.refuse(i, outcome.QueueTimeout), true
 		}
 	}
-	if c.inFlight >= c.allowed() {
-		c.limiter.win.blocked = true
+	if !c.room(c.allowed()) {
+		c.noteBlocked()
 		return Step{}, false
 	}
 	i := c.head()
@@ -309,7 +356,7 @@
 		return c.oldest()
 	}
 	i := c.queue.first(&c.newest, mesh.ClassCritical)
-	if c.inFlight < c.allowedFor(c.queue.calls[i].class) {
+	if c.room(c.allowedFor(c.queue.calls[i].class)) {
 		return i
 	}
 	for class := mesh.Class(mesh.NumClasses - 1); class > mesh.ClassCritical; class-- {
@@ -378,8 +425,8 @@
 	if c.cfg.Policy != PolicyFull {
 		return
 	}
-	c.limiter.tick(now, c.inFlight)
-	if c.inFlight >= c.limiter.allowed() {
+	c.limiter.tick(now, c.busy())
+	if !c.room(c.limiter.allowed()) {
 		c.cut.idle = false
 	}
 	c.updateCut(now)
@@ -397,13 +444,16 @@
 // Load returns the load to publish to callers.
 func (c *Controller) Load(now time.Duration) Load {
 	l := Load{
-		InFlight: c.inFlight,
+		InFlight: c.busy(),
 		Queued:   c.queue.queued,
 		Service:  c.limiter.expected(now),
 		Draining: c.draining,
 	}
 	if c.cfg.Policy != PolicyNone {
 		l.Limit = c.limit()
+		if c.inFlight*l.Limit > l.InFlight*c.bound() {
+			l.InFlight, l.Limit = c.inFlight, c.bound()
+		}
 		l.Wait = c.gap(now) * time.Duration(l.Queued)
 	}
 	return l
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -14,7 +14,8 @@
 	at       time.Duration // arrival while queued, start while running
 	deadline time.Duration
 	flow     int32
-	inFlight int32 // calls in flight when it started, itself included
+	inFlight int32 // busy calls when it started, itself included
+	away     bool  // waits for downstream calls
 	lane     link  // queue of its flow in its lane
 	age      link  // all queued calls of its class by arrival
 	class    mesh.Class
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -142,6 +142,7 @@
 	c.children = c.children[:0]
 	if c.parent != nil {
 		c.parent.childEnded(now, c)
+		n.admission.Downstream(c.parent.id, len(c.parent.children) > 0)
 		c.parent = nil
 	}
 	n.spare = c
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -228,7 +228,9 @@
 	}
 	c.ratio = &edge.ratio
 	parent.childStarted(now, c)
+	n.admission.Downstream(parent.id, true)
 	n.route(now, c)
+	n.pump(now)
 }
 
 // route sends the next attempt of a call to a node of its service.
