--- a/cmd/cardamomhatch/run.go
+++ b/cmd/cardamomhatch/run.go
@@ -41,7 +41,8 @@
 		return err
 	}
 	p.Start()
-	fmt.Fprintf(s.out, "node %s serves callers at %s and operators at %s\n", p.Self.Node, p.Self.CallerAddress, p.Self.OperatorAddress)
+	fmt.Fprintf(s.out, "node %s serves its upstream at %s, callers at %s and operators at %s\n",
+		p.Self.Node, p.LocalAddress, p.Self.CallerAddress, p.Self.OperatorAddress)
 	<-ctx.Done()
 	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -40,8 +40,9 @@
 
 // Process is one running node process.
 type Process struct {
-	Self    mesh.Member
-	Metrics metrics.Registry
+	Self         mesh.Member
+	LocalAddress string // where the local upstream announces itself
+	Metrics      metrics.Registry
 
 	engine    *engine.Node
 	shell     *node.Node
@@ -51,9 +52,10 @@
 // New builds a process. Start serves.
 func New(cfg Config) (*Process, error) {
 	p := &Process{
-		Self:      cfg.Self,
-		Metrics:   metrics.NewRegistry(),
-		decisions: newDecisions(),
+		LocalAddress: cfg.Listeners.Local.Addr().String(),
+		Self:         cfg.Self,
+		Metrics:      metrics.NewRegistry(),
+		decisions:    newDecisions(),
 	}
 	p.engine = engine.New(engine.Config{
 		Self:       cfg.Self,
