--- a/cmd/cardamomhatch/processes_test.go
+++ b/cmd/cardamomhatch/processes_test.go
@@ -226,6 +226,10 @@
 // Guards against a mesh that stops with its log.
 func TestKilledLog(t *testing.T) {
 	f := startFleet(t, 4)
+	f.await("a panel of all nodes is in force", func() bool {
+		status := f.operate(0, "", "status", "--json")
+		return strings.Contains(status, `"settled": true`) && regexp.MustCompile(`"epoch": [1-9]\d*,\s+"settled": true,\s+"members": \[(\s+"host-\d",?){4}`).MatchString(status)
+	})
 	f.log.kill()
 	time.Sleep(5 * time.Second) // longer than evidence from the log lasts
 	for i := range 40 {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -43,6 +43,7 @@
 	nextSpread  time.Duration
 	nextAssign  time.Duration
 	nextFetch   time.Duration
+	fetchTurn   int  // member that was asked last
 	assignDirty bool // the assignments may need a change
 	assignCheck time.Duration
 	proposals   map[string]*proposal
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -273,6 +273,26 @@
 	}
 	if !n.configured() && (n.control.logDown || n.control.gap) {
 		n.fetchFromSeeds(now)
+		return
+	}
+	if !n.control.fresh && n.control.logDown {
+		n.fetchFromMember(now)
+	}
+}
+
+// fetchFromMember asks one member after the other for records. A node that
+// missed the record of the present panel has nobody else to learn it from while
+// the log is down.
+func (n *Node) fetchFromMember(now time.Duration) {
+	members := n.control.folded
+	if len(members) < 2 {
+		n.fetchFromSeeds(now)
+		return
+	}
+	n.control.nextFetch = now + fetchInterval
+	n.control.fetchTurn++
+	if m := members[n.control.fetchTurn%len(members)]; m.Node != n.cfg.Self.Node {
+		n.post(m.Node, RecordsRequest{From: n.state.Offset()})
 	}
 }
 
--- a/internal/engine/operate.go
+++ b/internal/engine/operate.go
@@ -111,6 +111,7 @@
 	Shares       []ShareReport // held by this node
 	Members      []MemberReport
 	Withdrawals  []string // keys whose withdrawal the log does not carry yet
+	Panel        config.Panel
 }
 
 // ShareReport is one quota share that a node holds.
@@ -144,6 +145,7 @@
 	for _, m := range n.state.Members() {
 		r.Members = append(r.Members, n.memberReport(now, m))
 	}
+	r.Panel = n.state.Panel()
 	for _, id := range n.keys.Pending() {
 		r.Withdrawals = append(r.Withdrawals, string(id))
 	}
--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// Guards against a node that stays without evidence in an outage of the log
+// because it has not folded the record that names the panel.
+func TestNodeThatMissedThePanelRecordCatchesUp(t *testing.T) {
+	c := newCluster(t, 9, testMesh, "shop", "shop", "shop", "stock", "stock")
+	late := c.order[0]
+	for !late.joined() || c.order[1].State().Panel().Epoch > 0 {
+		c.run(TickInterval)
+		if c.now > 5*time.Second {
+			t.Fatal("the panel was named before host-0 joined")
+		}
+	}
+	if late.State().Panel().Epoch != 0 {
+		t.Fatal("host-0 knows the panel; the case is not reached")
+	}
+	c.logCut = func(h mesh.Host) bool { return h == late.member.Node.Host }
+	c.run(8 * time.Second)
+	c.logDown = true
+	c.run(5 * time.Second)
+	if got := c.call1(late, "anna", "GET", "/items/1", ""); !got.whole {
+		t.Fatalf("host-0 after the outage began: %+v", got.refusal)
+	}
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"cardamomhatch/internal/config"
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/timeline"
@@ -32,9 +33,30 @@
 	Upstream           Upstream        `json:"upstream"`
 	Shares             []Share         `json:"shares"` // held by this node
 	PendingWithdrawals []string        `json:"pending_withdrawals"`
+	Panel              Panel           `json:"panel"`
 	Members            []Member        `json:"members"`
 }
 
+// Panel is the set of nodes whose majority shows that knowledge is current.
+type Panel struct {
+	Epoch    uint64      `json:"epoch"`
+	Settled  bool        `json:"settled"` // the panel before it is no longer needed
+	Members  []mesh.Host `json:"members"`
+	Previous []mesh.Host `json:"previous,omitempty"`
+}
+
+func panelOf(p config.Panel) Panel {
+	return Panel{Epoch: p.Epoch, Settled: p.Settled, Members: hostsOf(p.Members), Previous: hostsOf(p.Previous)}
+}
+
+func hostsOf(nodes []mesh.NodeID) []mesh.Host {
+	hosts := make([]mesh.Host, len(nodes))
+	for i, n := range nodes {
+		hosts[i] = n.Host
+	}
+	return hosts
+}
+
 // Upstream describes the upstream beside the node and the admission to it.
 type Upstream struct {
 	URL         string   `json:"url,omitempty"`
@@ -111,7 +133,7 @@
 		Configured: r.Configured, Revision: r.Revision, Offset: r.Offset, Digest: r.Digest, Gap: r.Gap,
 		LogReachable: r.LogReachable, Fresh: r.Fresh, Stopping: r.Stopping, Calls: r.InFlight,
 		Upstream: describeUpstream(r), Shares: []Share{}, Members: []Member{},
-		PendingWithdrawals: append([]string{}, r.Withdrawals...),
+		Panel: panelOf(r.Panel), PendingWithdrawals: append([]string{}, r.Withdrawals...),
 	}
 	if r.FreshUntil != 0 {
 		until := time.Unix(0, r.FreshUntil).UTC()
