--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -41,6 +41,7 @@
 	jitter     time.Duration // greatest extra delay of control messages; reorders them
 	cut        func(from, to mesh.Host) bool
 	service    time.Duration
+	logPoll    time.Duration // between two reads of the log by a node
 	secrets    map[mesh.Workspace]string
 	ends       map[callName]end // by the node and call of a customer
 	runs       map[mesh.ActionID]int
@@ -120,15 +121,12 @@
 	return last
 }
 
-const (
-	networkDelay = time.Millisecond
-	logPoll      = 20 * time.Millisecond
-)
+const networkDelay = time.Millisecond
 
 func newCluster(t testing.TB, seed uint64, files string, services ...mesh.Service) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[mesh.NodeID]*testNode{},
-		service: 5 * time.Millisecond, secrets: map[mesh.Workspace]string{}, ends: map[callName]end{},
+		service: 5 * time.Millisecond, logPoll: 20 * time.Millisecond, secrets: map[mesh.Workspace]string{}, ends: map[callName]end{},
 		runs: map[mesh.ActionID]int{}, cut: func(a, b mesh.Host) bool { return false },
 		logCut: func(mesh.Host) bool { return false }, status: map[mesh.CallID]int{},
 		loseAnswer: func() bool { return false }, cutBody: func() bool { return false },
@@ -218,7 +216,7 @@
 	c.nodes[member.Node] = n
 	c.order = append(c.order, n)
 	c.every(TickInterval, n, func() { c.step(n, &Tick{}) })
-	c.every(logPoll, n, func() { c.readLog(n) })
+	c.every(c.logPoll, n, func() { c.readLog(n) })
 	c.every(time.Second, n, func() { c.announce(n) })
 	c.announce(n)
 	return n
--- /dev/null
+++ b/internal/engine/faults_test.go
@@ -0,0 +1,478 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// faultMesh is a call graph three levels deep. Nobody calls for the workspace
+// dora; operators change its weight.
+const faultMesh = `
+[mesh]
+name = faults
+
+[service shop]
+[service stock]
+[service pay]
+[service shelf]
+
+[edge shop stock]
+calls_per_parent = 2
+idempotent = true
+
+[edge shop pay]
+calls_per_parent = 1
+idempotent = false
+
+[edge stock shelf]
+calls_per_parent = 1
+idempotent = true
+
+[route GET /items/{id}]
+service = shop
+idempotent = true
+class = normal
+timeout = 1s
+
+[route POST /orders]
+service = shop
+idempotent = false
+class = critical
+timeout = 1s
+
+[workspace anna]
+rate_per_second = 60
+burst = 96
+weight = 1
+
+[workspace bjorn]
+rate_per_second = 10
+burst = 4
+weight = 1
+
+[workspace carla]
+rate_per_second = 20
+burst = 40
+weight = 1
+
+[workspace dora]
+rate_per_second = 1
+burst = 1
+weight = %d
+`
+
+const (
+	warmUp     = 6 * time.Second // joins, panel, shares
+	faultsLast = 6 * time.Second // faults start within this time
+	faultEnds  = 5 * time.Second // and last at most this long
+	settleFor  = 10 * time.Second
+)
+
+// faultRun is a cluster under random calls and faults.
+type faultRun struct {
+	*recorder
+	random  *rand.Rand
+	done    bool // no more calls and faults
+	bad     bool // upstreams and networks misbehave
+	changes [][2]string
+}
+
+func newFaultRun(t testing.TB, seed uint64) *faultRun {
+	c := newCluster(t, seed, fmt.Sprintf(faultMesh, 1), "shop", "shop", "shop", "stock", "stock", "pay", "pay", "shelf")
+	f := &faultRun{recorder: observe(c), random: rand.New(rand.NewPCG(seed, 1))}
+	c.upstream = f.upstream
+	c.logPoll = 50 * time.Millisecond
+	c.loseAnswer = func() bool { return f.chance(0.03) }
+	c.cutBody = func() bool { return f.chance(0.03) }
+	return f
+}
+
+// chance is true with probability p while things go wrong.
+func (f *faultRun) chance(p float64) bool { return f.bad && f.random.Float64() < p }
+
+func (f *faultRun) upTo(d time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(d)))
+}
+
+// play runs the cluster through warm-up, faults and recovery, and checks it.
+func (f *faultRun) play() {
+	c := f.c
+	c.run(warmUp)
+	f.bad = true
+	f.load()
+	for range 2 + f.random.IntN(4) {
+		fault := faults[f.random.IntN(len(faults))]
+		c.at(f.upTo(faultsLast), func() { f.cause(fault) })
+	}
+	c.run(faultsLast + faultEnds)
+	f.done, f.bad = true, false
+	c.run(settleFor)
+	f.check()
+	f.checkSettled()
+	f.checkChanges()
+	f.checkServes()
+}
+
+func (f *faultRun) cause(x fault) {
+	f.c.t.Log(f.c.now, x.name)
+	x.cause(f)
+}
+
+// checkServes guards against faults from which the mesh does not recover.
+func (f *faultRun) checkServes() {
+	for _, n := range f.c.living() {
+		q := f.customer(n, "anna", "GET", "/items/1", "", nil)
+		f.c.run(300 * time.Millisecond)
+		if !q.result.whole {
+			f.problem("after the faults, %s answers %+v", n.member.Node, q.result.refusal)
+		}
+	}
+}
+
+// load sends calls at random times through random nodes.
+func (f *faultRun) load() {
+	if f.done {
+		return
+	}
+	f.c.at(f.upTo(80*time.Millisecond), func() {
+		f.sendCall()
+		f.load()
+	})
+}
+
+func (f *faultRun) sendCall() {
+	n := f.anyNode()
+	if n == nil {
+		return
+	}
+	ws := []mesh.Workspace{"anna", "anna", "bjorn", "carla"}[f.random.IntN(4)]
+	switch f.random.IntN(4) {
+	case 0:
+		f.order(n, ws)
+	case 1:
+		f.leaveEarly(f.customer(n, ws, "POST", "/orders", "", nil))
+	default:
+		f.leaveEarly(f.customer(n, ws, "GET", "/items/1", "", nil))
+	}
+}
+
+// leaveEarly closes some callers' connections before the answer.
+func (f *faultRun) leaveEarly(q *request) {
+	if !f.chance(0.1) {
+		return
+	}
+	f.c.at(f.upTo(20*time.Millisecond), func() {
+		if q.finals == 0 && !q.node.dead {
+			q.gone = true
+			f.c.step(q.node, &CallGone{Call: q.id})
+		}
+	})
+}
+
+// order takes a ticket and presents it up to four times, also at other nodes,
+// as a caller does that has got no whole answer.
+func (f *faultRun) order(n *testNode, ws mesh.Workspace) {
+	name := callName{n.member.Node.Host, f.c.newCall()}
+	f.c.step(n, &TicketRequested{Call: name.call, Secret: []byte(f.c.secrets[ws])})
+	ticket := f.c.ends[name].ticket
+	if ticket == "" {
+		return
+	}
+	tries := 0
+	var try func()
+	try = func() {
+		tries++
+		if n := f.anyNode(); n != nil && tries <= 4 {
+			again := func(e end) {
+				if !e.whole || f.chance(0.2) {
+					try()
+				}
+			}
+			f.leaveEarly(f.customer(n, ws, "POST", "/orders", ticket, again))
+		}
+	}
+	try()
+	if f.chance(0.3) {
+		f.c.at(f.upTo(100*time.Millisecond), try) // the caller does not wait
+	}
+}
+
+func (f *faultRun) anyNode() *testNode {
+	nodes := f.c.living()
+	if len(nodes) == 0 {
+		return nil
+	}
+	return nodes[f.random.IntN(len(nodes))]
+}
+
+// upstream is the program of all services: it calls what is declared below it,
+// sometimes more often, and sometimes fails, sheds, stalls or is lost.
+func (f *faultRun) upstream(n *testNode, e Effect) {
+	switch {
+	case f.chance(0.02):
+		f.c.at(time.Millisecond, func() {
+			f.c.step(n, &Answered{Call: e.Call, Attempt: e.Attempt, Status: statusUnavailable, NotRun: true, Replayable: true})
+		})
+		return
+	case f.chance(0.01):
+		f.c.at(time.Millisecond, func() { f.attemptFailed(n, e, outcome.NotRun, outcome.ConnectFailed) })
+		return
+	}
+	x := f.ran(n, e)
+	f.c.at(f.upTo(10*time.Millisecond), func() { f.callBelow(x, 0, func() { f.endRun(x, n, e) }) })
+}
+
+func (f *faultRun) attemptFailed(n *testNode, e Effect, execution outcome.Execution, reason outcome.Reason) {
+	f.c.step(n, &AttemptFailed{Call: e.Call, Attempt: e.Attempt, Execution: execution, Reason: reason, Replayable: true})
+}
+
+// callBelow makes the downstream calls of a run, at once or one after another.
+func (f *faultRun) callBelow(x *execution, from int, then func()) {
+	edges := f.c.declared.Edges
+	for from < len(edges) && edges[from].From != x.request.service {
+		from++
+	}
+	if from == len(edges) {
+		then()
+		return
+	}
+	calls := edges[from].CallsPerParent
+	for f.chance(0.15) {
+		calls++
+	}
+	pending := calls
+	parallel := f.random.IntN(2) == 0
+	var next func()
+	ended := func(end) {
+		if pending--; pending == 0 {
+			f.callBelow(x, from+1, then)
+		} else if !parallel {
+			next()
+		}
+	}
+	next = func() { f.child(x, edges[from].To, edges[from].Idempotent, ended) }
+	next()
+	for i := 1; parallel && i < calls; i++ {
+		next()
+	}
+}
+
+func (f *faultRun) endRun(x *execution, n *testNode, e Effect) {
+	switch {
+	case f.chance(0.02): // stalls until the deadline
+	case f.chance(0.03):
+		f.attemptFailed(n, e, outcome.MayHaveRun, outcome.PeerLost)
+	case f.chance(0.05):
+		f.c.answer(n, e, 500)
+	default:
+		f.c.answer(n, e, 200)
+	}
+}
+
+// fault is one kind of fault. Its cause also arranges its end.
+type fault struct {
+	name  string
+	cause func(*faultRun)
+}
+
+var faults = []fault{
+	{"pause", func(f *faultRun) {
+		if n := f.anyNode(); n != nil {
+			n.pausedTo = f.c.now + f.upTo(faultEnds)
+		}
+	}},
+	{"restart", func(f *faultRun) {
+		if n := f.anyNode(); n != nil && n.leaving == 0 {
+			f.c.kill(n)
+			f.c.at(f.upTo(faultEnds), func() { f.c.start(n.member.Node.Host, n.member.Service) })
+		}
+	}},
+	{"planned stop", func(f *faultRun) {
+		if n := f.anyNode(); n != nil && n.leaving == 0 {
+			f.stop(n)
+		}
+	}},
+	{"partition", func(f *faultRun) {
+		apart := dataCentreOf(f.anyHost())
+		f.during(func() {
+			f.c.cut = func(a, b mesh.Host) bool { return (dataCentreOf(a) == apart) != (dataCentreOf(b) == apart) }
+		}, func() { f.c.cut = func(a, b mesh.Host) bool { return false } })
+	}},
+	{"log outage", func(f *faultRun) {
+		f.during(func() { f.c.logDown = true }, func() { f.c.logDown = false })
+	}},
+	{"log out of reach of a data centre", func(f *faultRun) {
+		apart := dataCentreOf(f.anyHost())
+		f.during(func() { f.c.logCut = func(h mesh.Host) bool { return dataCentreOf(h) == apart } },
+			func() { f.c.logCut = func(mesh.Host) bool { return false } })
+	}},
+	{"lost append replies", func(f *faultRun) {
+		f.during(func() { f.c.loseAck = 0.7 }, func() { f.c.loseAck = 0 })
+	}},
+	{"bad network", func(f *faultRun) {
+		f.during(func() { f.c.lossy, f.c.doubled, f.c.jitter = 0.2, 0.2, 100*time.Millisecond },
+			func() { f.c.lossy, f.c.doubled, f.c.jitter = 0, 0, 0 })
+	}},
+	{"upstream silent", func(f *faultRun) {
+		if n := f.anyNode(); n != nil {
+			f.during(func() { n.silent = true }, func() { n.silent = false })
+		}
+	}},
+	{"upstream not ready", func(f *faultRun) {
+		if n := f.anyNode(); n != nil {
+			f.during(func() { n.notReady = true }, func() { n.notReady = false })
+		}
+	}},
+	{"withdrawal", func(f *faultRun) {
+		if n := f.anyNode(); n != nil {
+			f.c.step(n, &KeyWithdrawn{ID: keyID(f.c.secrets["carla"])})
+		}
+	}},
+	{"conflicting changes", func(f *faultRun) { f.conflict() }},
+	{"new host", func(f *faultRun) { f.c.start(mesh.Host(fmt.Sprintf("host-%d", len(f.c.order)+10)), "stock") }},
+	{"truncation", func(f *faultRun) { f.c.truncate() }},
+}
+
+// during causes a fault and ends it after a random time.
+func (f *faultRun) during(begin, finish func()) {
+	begin()
+	f.c.at(f.upTo(faultEnds), finish)
+}
+
+func (f *faultRun) anyHost() mesh.Host {
+	return f.c.order[f.random.IntN(len(f.c.order))].member.Node.Host
+}
+
+// stop stops a node as planned and starts its successor on the host.
+func (f *faultRun) stop(n *testNode) {
+	f.c.stop(n)
+	var wait func()
+	wait = func() {
+		if n.dead {
+			f.c.start(n.member.Node.Host, n.member.Service)
+			return
+		}
+		f.c.at(100*time.Millisecond, wait)
+	}
+	wait()
+}
+
+// conflict lets two operators change the same object through two nodes.
+func (f *faultRun) conflict() {
+	a, b := f.anyNode(), f.anyNode()
+	if a == nil || !a.configured() {
+		return
+	}
+	var pair [2]string
+	for i, n := range []*testNode{a, b} {
+		token, data := f.change(a.State(), 2+f.random.IntN(1000))
+		pair[i] = token
+		f.c.step(n, &Proposed{Token: token, Data: data})
+	}
+	f.changes = append(f.changes, pair)
+}
+
+func (f *faultRun) change(s *config.State, weight int) (string, []byte) {
+	m, err := declaration.Parse(declaration.File{Name: "test.ini", Data: fmt.Appendf(nil, faultMesh, weight)})
+	if err != nil {
+		f.c.t.Fatal(err)
+	}
+	plan, err := config.Plan(s, m)
+	if err != nil {
+		f.c.t.Fatal(err)
+	}
+	h := config.Header{By: mesh.NodeID{Host: "operator", Incarnation: 1}, After: s.Offset()}
+	for i := range h.Token {
+		h.Token[i] = byte(f.random.Uint32())
+	}
+	data, err := config.NewChange(h, plan)
+	if err != nil {
+		f.c.t.Fatal(err)
+	}
+	return h.Token.String(), data
+}
+
+// checkChanges is the part of (f) on conflicts: of two changes that reached the
+// log, exactly one is accepted, by every node.
+func (f *faultRun) checkChanges() {
+	for _, pair := range f.changes {
+		for _, n := range f.c.living() {
+			accepted, found := 0, 0
+			for _, token := range pair {
+				id, _ := config.ParseToken(token)
+				_, verdict, known := n.State().Find(id)
+				if known {
+					found++
+				}
+				if known && verdict.Kind == config.Accepted {
+					accepted++
+				}
+			}
+			if found == 2 && accepted != 1 {
+				f.problem("(f) %s accepted %d of two conflicting changes", n.member.Node, accepted)
+			}
+		}
+	}
+}
+
+// truncate drops the records that the newest snapshot covers, as the log does
+// with old ones.
+func (c *cluster) truncate() {
+	if len(c.snapshots) == 0 {
+		return
+	}
+	state, err := config.Restore(c.snapshots[len(c.snapshots)-1])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.logFirst = max(c.logFirst, state.Offset())
+}
+
+// Guards against a mix of faults that breaks an invariant of the design page.
+func TestInvariantsUnderFaults(t *testing.T) {
+	for seed := uint64(1); seed <= faultSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFaultRun(t, seed)
+			f.play()
+			for _, p := range f.problems {
+				t.Error(p)
+			}
+		})
+	}
+}
+
+// faultSeeds is the number of runs; 120 take about 20 s with the race detector.
+const faultSeeds = 120
+
+// Guards against effects that depend on anything but the seed, such as the
+// order of a map.
+func TestEqualSeedsGiveEqualEffects(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 2; seed++ {
+		var first []string
+		for range 2 {
+			f := newFaultRun(t, seed)
+			f.traced = true
+			f.play()
+			if first == nil {
+				first = f.trace
+				continue
+			}
+			i := 0
+			for i < len(first) && i < len(f.trace) && first[i] == f.trace[i] {
+				i++
+			}
+			if i < len(first) || i < len(f.trace) {
+				t.Fatalf("seed %d: effect %d is\n%s\nand\n%s", seed, i, first[i], f.trace[i])
+			}
+		}
+	}
+}
