--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,12 +14,12 @@
 
 // The results.
 const (
-	OK        Result = iota
-	Failed           // the upstream answered with an error, or not in time
-	Refused          // the serving node or its upstream refused the call for load
-	Lost             // no connection, or the connection broke
-	NotServing       // the node takes no work: its upstream drains or is absent
-	Cancelled        // the caller gave up; says nothing about the node
+	OK         Result = iota
+	Failed            // the upstream answered with an error, or not in time
+	Refused           // the serving node or its upstream refused the call for load
+	Lost              // no connection, or the connection broke
+	NotServing        // the node takes no work: its upstream drains or is absent
+	Cancelled         // the caller gave up; says nothing about the node
 )
 
 // Report is the load that a node states about its upstream. The zero value
