--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -123,8 +123,8 @@
 }
 
 // refuseEarly answers a call for which no state was created.
-func (n *Node) refuseEarly(now time.Duration, id mesh.CallID, r outcome.Reason, retryAfter time.Duration) {
-	n.emit(Effect{Kind: Refuse, Call: id, Refusal: n.refusal(outcome.NotRun, r, retryAfter)})
+func (n *Node) refuseEarly(now time.Duration, id mesh.CallID, e outcome.Execution, r outcome.Reason, retryAfter time.Duration) {
+	n.emit(Effect{Kind: Refuse, Call: id, Refusal: n.refusal(e, r, retryAfter)})
 	n.recordEvent(now, timeline.Event{Kind: timeline.Refused, Reason: r})
 }
 
@@ -142,6 +142,7 @@
 	c.children = c.children[:0]
 	if c.parent != nil {
 		c.parent.childEnded(now, c)
+		n.admission.Downstream(c.parent.id, len(c.parent.children) > 0)
 		c.parent = nil
 	}
 	n.spare = c
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,11 +25,13 @@
 // proposal is a record that this node has asked the log to append.
 type proposal struct {
 	token     string
+	task      string // the assignment task it belongs to, or empty
 	id        config.Token
 	data      []byte
 	operator  bool // an operator waits for the decision
 	deadline  time.Duration
-	unknown   bool          // an append ended without an answer
+	lost      bool          // any append ended without an answer
+	unknown   bool          // the last append ended without an answer
 	unknownAt time.Duration // time of that end
 }
 
@@ -39,23 +42,41 @@
 	if err != nil {
 		return
 	}
+	if offset, verdict, found := n.state.Find(id); found {
+		n.decided(&proposal{token: token, operator: operator}, verdict, offset)
+		return
+	}
+	if p := n.control.proposals[token]; p != nil {
+		p.deadline = now + proposalTimeout // the first record under a token counts
+		return
+	}
 	n.control.proposals[token] = &proposal{
 		token: token, id: id, data: data, operator: operator, deadline: now + proposalTimeout,
 	}
 	n.emit(Effect{Kind: Append, AppendID: token, Data: data})
 }
 
+// forget removes a proposal that has been decided or given up.
+func (n *Node) forget(p *proposal) {
+	delete(n.control.proposals, p.token)
+	if n.control.tasks[p.task] == p.token {
+		delete(n.control.tasks, p.task)
+	}
+}
+
 func (n *Node) appendEnded(now time.Duration, ev *AppendEnded) {
 	p := n.control.proposals[ev.Token]
 	if p == nil || ev.Err == nil {
 		return
 	}
-	if errors.Is(ev.Err, logservice.ErrUnknown) {
+	p.lost = p.lost || errors.Is(ev.Err, logservice.ErrUnknown)
+	if p.lost {
+		// An earlier append may have taken effect even if this one has not.
 		p.unknown = true
 		p.unknownAt = now
 		return
 	}
-	delete(n.control.proposals, ev.Token)
+	n.forget(p)
 	n.reject(p, fmt.Sprintf("the log did not take the record: %v", ev.Err))
 }
 
@@ -75,8 +96,8 @@
 	for _, token := range sortedTokens(n.control.proposals) {
 		p := n.control.proposals[token]
 		if now >= p.deadline {
-			delete(n.control.proposals, token)
-			n.reject(p, "the log has not confirmed the record; it may still take effect")
+			n.forget(p)
+			n.undecided(p, "the log has not confirmed the record; it may still take effect")
 		}
 	}
 }
@@ -89,7 +110,7 @@
 		if !found {
 			continue
 		}
-		delete(n.control.proposals, token)
+		n.forget(p)
 		n.decided(p, verdict, offset)
 	}
 }
@@ -111,6 +132,12 @@
 	}
 }
 
+func (n *Node) undecided(p *proposal, reason string) {
+	if p.operator {
+		n.emit(Effect{Kind: Decided, AppendID: p.token, Decision: &Decision{Undecided: true, Reason: reason}})
+	}
+}
+
 // withdrawal is a withdrawal of a key that an operator asked this node for.
 type withdrawal struct {
 	deadline time.Duration
@@ -164,15 +191,17 @@
 func (n *Node) answerWithdrawal(id keys.ID, accepted bool, unconfirmed []mesh.NodeID) {
 	d := &Decision{Accepted: accepted, Unconfirmed: unconfirmed}
 	if !accepted {
+		d.Undecided = true
 		d.Reason = "neither the log nor a majority of the panel holds the withdrawal yet; it stays pending"
 	}
 	n.emit(Effect{Kind: Decided, AppendID: string(id), Decision: d})
 }
 
-// retryWithdrawals writes pending withdrawals to the log when it is back. One
-// node does it for those whose first node is gone.
+// retryWithdrawals writes pending withdrawals to the log when it is back, or when
+// only the node that the operator asked cannot reach it. Every member of the panel
+// does so: a node that has only the log to rely on learns of them there.
 func (n *Node) retryWithdrawals(now time.Duration) {
-	if now < n.control.nextWithdrawal || n.control.logDown || len(n.keys.Pending()) == 0 || !n.assigns("withdrawals") {
+	if now < n.control.nextWithdrawal || n.control.logDown || len(n.keys.Pending()) == 0 || !n.inPanel() {
 		return
 	}
 	n.control.nextWithdrawal = now + reappendInterval
@@ -181,6 +210,8 @@
 	}
 }
 
+func (n *Node) inPanel() bool { return slices.Contains(n.state.Panel().Members, n.cfg.Self.Node) }
+
 func (n *Node) isPending(id keys.ID) bool {
 	for _, other := range n.keys.Pending() {
 		if other == id {
--- /dev/null
+++ b/internal/engine/repairs_test.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// holderOf returns the node that holds a workspace's first share.
+func (c *cluster) holderOf(ws mesh.Workspace) *testNode {
+	return c.nodes[c.living()[0].State().Shares(ws)[0].Holder]
+}
+
+// Guards against a share that a planned stop has released and that its next
+// holder does not take over, or takes over only after F and drift.
+func TestPlannedStopReleasesShares(t *testing.T) {
+	c := testCluster(t, 20)
+	holder := c.holderOf("bjorn")
+	c.stop(holder)
+	c.run(1500 * time.Millisecond) // leave record, shares record, 500 ms between assignments
+	next := c.holderOf("bjorn")
+	if next == nil || next == holder {
+		t.Fatal("the share has not moved")
+	}
+	if waiting := next.quota.Inactive(); len(waiting) > 0 {
+		t.Fatalf("%s waits for %v", next.member.Node, waiting)
+	}
+}
+
+// Guards against "not run" for a repeated order that has run, from a node that
+// refuses the call before it can look up the ticket.
+func TestRefusalBeforeTicketLookup(t *testing.T) {
+	c := testCluster(t, 21)
+	first := c.order[0]
+	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
+	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	if got := c.call1(first, "anna", "POST", "/orders", ticket); !got.whole {
+		t.Fatalf("order: %+v", got)
+	}
+	c.step(first, &KeyWithdrawn{ID: strings.Split(c.secrets["anna"], "_")[1]})
+	isolated := c.order[1]
+	c.logDown = true
+	c.cut = func(a, b mesh.Host) bool { return a == isolated.member.Node.Host || b == isolated.member.Node.Host }
+	c.run(3 * time.Second)
+	for _, n := range []*testNode{first, isolated} {
+		got := c.call1(n, "anna", "POST", "/orders", ticket)
+		if got.whole || got.refusal.Execution != outcome.MayHaveRun {
+			t.Errorf("%s answers %+v, want may-have-run", n.member.Node, got)
+		}
+	}
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -134,6 +134,13 @@
 // hold returns the state of a share that this node holds from now on.
 func (l *Ledger) hold(now time.Duration, a *account, s Share) *held {
 	h := a.holds(s.Index)
+	if h != nil && s.Epoch > h.share.Epoch+1 {
+		// Another node may have held the share in a record that was skipped,
+		// as when a snapshot was restored.
+		l.abandon(now, h)
+		h = nil
+		s.First = false
+	}
 	if h == nil {
 		h = newHeld(s, now)
 		h.active = s.First
@@ -405,7 +412,7 @@
 			kept = append(kept, r) // the record is not folded yet
 			continue
 		}
-		if h.active || h.share.Epoch != r.Epoch+1 || r.Count > h.share.Count {
+		if h.active || h.share.PredecessorEpoch != r.Epoch || r.Count > h.share.Count {
 			continue // Activate decides; a share that grows waits for the others too
 		}
 		h.active = true
