--- a/internal/node/bench_test.go
+++ b/internal/dev/bench_test.go
@@ -1,4 +1,4 @@
-package node
+package dev
 
 import (
 	"crypto/tls"
@@ -13,19 +13,28 @@
 	"testing"
 	"time"
 
-	"cardamomhatch/internal/devtls"
+	"cardamomhatch/internal/examples"
 )
 
-// plainForwarder forwards every request to target without any policy. It is
-// the yardstick for the cost of a node.
+const benchConnections = 64
+
+func benchTransport(secure *tls.Config) *http.Transport {
+	return &http.Transport{
+		DisableCompression: true, MaxIdleConnsPerHost: benchConnections,
+		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, TLSClientConfig: secure,
+	}
+}
+
+// plainForwarder forwards every request to target without any policy, with
+// connections like those of a node. It is the yardstick for the cost of a node.
 func plainForwarder(b *testing.B, target string, toTarget, own *tls.Config) string {
-	base := must(url.Parse(target))
-	transport := newTransport()
-	transport.MaxIdleConnsPerHost = peerIdlePerHost
-	if toTarget != nil {
-		transport.TLSClientConfig = toTarget.Clone()
-		transport.TLSClientConfig.ServerName = "serving"
+	base, err := url.Parse(target)
+	if err != nil {
+		b.Fatal(err)
 	}
+	transport := benchTransport(toTarget)
+	b.Cleanup(transport.CloseIdleConnections)
+	buffers := sync.Pool{New: func() any { return new([32 << 10]byte) }}
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out := r.Clone(r.Context())
 		out.RequestURI = ""
@@ -40,10 +49,10 @@
 			w.Header()[name] = values
 		}
 		w.WriteHeader(resp.StatusCode)
-		buffer := copyBuffers.Get().(*[copySize]byte)
-		defer copyBuffers.Put(buffer)
+		buffer := buffers.Get().(*[32 << 10]byte)
+		defer buffers.Put(buffer)
 		// Without ReadFrom, which would send header and body separately.
-		io.CopyBuffer(struct{ io.Writer }{w}, resp.Body, buffer[:])
+		_, _ = io.CopyBuffer(struct{ io.Writer }{w}, resp.Body, buffer[:])
 	}))
 	if own != nil {
 		server.TLS = own.Clone()
@@ -58,6 +67,7 @@
 // path is one way to the upstream.
 type path struct {
 	url     string
+	key     string
 	client  *http.Client
 	elapsed []time.Duration
 	cpu     time.Duration
@@ -73,11 +83,13 @@
 
 func (p *path) call(b *testing.B) time.Duration {
 	start := time.Now()
-	r := must(http.NewRequest("GET", p.url+"/x?a=1", nil))
-	r.Header.Set("Authorization", "Bearer "+testKey)
-	resp, body, err := do(p.client, r)
-	if err != nil || resp.StatusCode != http.StatusOK || len(body) != 2048 {
-		b.Error(resp, len(body), err)
+	r, err := http.NewRequest("GET", p.url+"/items/1?a=1", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+p.key)
+	if got := send(p.client, r); got.err != nil || got.status != http.StatusOK || len(got.body) != payload {
+		b.Error(got)
 	}
 	return time.Since(start)
 }
@@ -109,41 +121,58 @@
 	return p.elapsed[int(q*float64(len(p.elapsed)-1))]
 }
 
-func loadClient(b *testing.B, ca *devtls.Authority) *http.Client {
-	c := client(b, ca)
-	c.Transport.(*http.Transport).MaxIdleConnsPerHost = peerIdlePerHost
-	return c
-}
+const payload = 2048
 
 // BenchmarkTwoHops compares a call over two nodes with a direct call and with
 // two policy-free forwarders, in rounds that alternate so that noise meets all
-// three alike. CPU is that of the whole process: client, hops and upstream.
+// three alike. CPU is that of the whole process: client, hops, upstream, and the
+// control plane of the nodes.
 func BenchmarkTwoHops(b *testing.B) {
-	b.Run("plain", func(b *testing.B) { benchmarkTwoHops(b, nil) })
-	b.Run("tls", func(b *testing.B) { benchmarkTwoHops(b, must(devtls.New())) })
+	b.Run("plain", func(b *testing.B) { benchmarkTwoHops(b, false) })
+	b.Run("tls", func(b *testing.B) { benchmarkTwoHops(b, true) })
 }
 
-func benchmarkTwoHops(b *testing.B, ca *devtls.Authority) {
-	payload := make([]byte, 2048)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(len(payload)))
-		w.Write(payload)
+func benchmarkTwoHops(b *testing.B, secure bool) {
+	body := make([]byte, payload)
+	m := startMesh(b, func(o *Options) {
+		o.TLS = secure
+		o.Upstreams = []examples.Upstreams{
+			{Service: "shop", Count: 1, Slots: 200, Connections: 400},
+			{Service: "stock", Count: 1, Slots: 200, Connections: 400},
+		}
+		o.Serve = func(*Host, http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", strconv.Itoa(payload))
+				_, _ = w.Write(body)
+			})
+		}
 	})
-	upstream := httptest.NewServer(handler)
-	b.Cleanup(upstream.Close)
-	nodes := startPair(b, ca, handler)
-	for _, n := range []*testNode{nodes.entry, nodes.serving} {
-		n.Do(func() { n.machine.seen = nil })
+	serving, entry := m.Hosts[0], m.Hosts[1]
+	var peerServer, peerClient, entryTLS, clientTLS *tls.Config
+	if secure {
+		peer, err := m.authority.Peer(serving.Name)
+		if err != nil {
+			b.Fatal(err)
+		}
+		peerServer, peerClient = peer.Clone(), peer.Clone()
+		peerServer.ClientAuth = tls.RequireAndVerifyClientCert
+		peerClient.ServerName = string(serving.Name)
+		if entryTLS, err = m.authority.Server(entry.Name); err != nil {
+			b.Fatal(err)
+		}
+		clientTLS = &tls.Config{RootCAs: m.authority.Pool(), ServerName: string(entry.Name)}
 	}
-	var peerTLS, entryTLS *tls.Config
-	if ca != nil {
-		peerTLS = peerServerTLS(must(ca.Peer("serving")))
-		entryTLS = must(ca.Server("entry"))
+	newPath := func(url string) *path {
+		transport := benchTransport(clientTLS)
+		b.Cleanup(transport.CloseIdleConnections)
+		return &path{url: url, key: m.Keys["anna"], client: &http.Client{Transport: transport}}
 	}
-	serving := plainForwarder(b, upstream.URL, nil, peerTLS)
-	direct := &path{url: upstream.URL, client: loadClient(b, ca)}
-	two := &path{url: nodes.entry.callers, client: loadClient(b, ca)}
-	forwarders := &path{url: plainForwarder(b, serving, peerTLS, entryTLS), client: loadClient(b, ca)}
+	direct, two := newPath(serving.UpstreamURL), newPath(entry.CallerURL)
+	forwarders := newPath(plainForwarder(b, plainForwarder(b, serving.UpstreamURL, nil, peerServer), peerClient, entryTLS))
+	compare(b, direct, two, forwarders)
+}
+
+func compare(b *testing.B, direct, two, forwarders *path) {
 	paths := []*path{direct, two, forwarders}
 	const workers, calls, sequential = 16, 40, 100
 	for _, p := range paths {
--- a/internal/dev/calls_test.go
+++ b/internal/dev/calls_test.go
@@ -35,6 +35,7 @@
 // Guards against a key that reaches an upstream, a log line or the timeline
 // from any place in which a caller can present it, over TLS.
 func TestKeyStaysAtTheEntryNode(t *testing.T) {
+	t.Parallel()
 	log := &lines{}
 	b := startMesh(t, func(o *Options) {
 		o.TLS, o.Logger = true, log
@@ -129,6 +130,7 @@
 // Guards against bodies that a node holds whole: both directions only move on
 // while the receiver has most of what was sent.
 func TestLargeBodiesAreStreamed(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, func(o *Options) { o.TLS = true })
 	up, down := make(flow, ahead), make(flow, ahead)
 	block := bytes.Repeat([]byte("glove."), piece/6+1)[:piece]
@@ -176,6 +178,7 @@
 // Guards against a stored answer beyond the bound for one answer, and against
 // a second execution in its place.
 func TestLargeAnswerIsNotStored(t *testing.T) {
+	t.Parallel()
 	const size = 300 << 10
 	b := startMesh(t, func(o *Options) {
 		small := o.Upstream
@@ -205,6 +208,7 @@
 // Guards against a second execution of a repeated order, at any entry node and
 // also at the same time, and against another answer than the first.
 func TestRepeatedOrderRunsOnce(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	c := b.client()
 	ticket := b.ticket(c, b.Hosts[0])
@@ -228,6 +232,7 @@
 // caller sees an aborted connection, or, if no byte of the answer had left the
 // serving node, a refusal that does not deny the execution.
 func TestCutAnswerIsNotWhole(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{0, 1 << 20} {
 		b := startMesh(t, func(o *Options) {
 			small := o.Upstream
@@ -249,6 +254,7 @@
 
 // Guards against a late answer that reaches a later call on the same connection.
 func TestLateAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	for _, h := range b.Hosts {
 		h.Upstream.SetFaults(upstream.Faults{Late: 400 * time.Millisecond})
@@ -274,6 +280,7 @@
 // Guards against a caller that chooses workspace, deadline or allowance by
 // forging the headers between nodes.
 func TestForgedHeadersHaveNoEffect(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	forged := http.Header{
 		engine.HopHeader:            {engine.Hop{Workspace: "other", Service: "shop", Remaining: time.Hour}.Encode()},
@@ -315,6 +322,7 @@
 
 // Guards against a withdrawn key that goes on working on open connections.
 func TestWithdrawnKeyOnOpenConnection(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	c := b.client()
 	reused := false
@@ -338,6 +346,7 @@
 
 // Guards against work that goes on down the chain after the caller has gone.
 func TestCallerGoneCancelsTheChain(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	started, ended := make(chan struct{}), make(chan struct{})
 	b.setHandler(func(h *Host, _ http.ResponseWriter, r *http.Request) bool {
--- a/internal/dev/harness_test.go
+++ b/internal/dev/harness_test.go
@@ -44,8 +44,8 @@
 idempotent = true
 timeout = 20s
 [workspace anna]
-rate_per_second = 100000
-burst = 100000
+rate_per_second = 1000000
+burst = 1000000
 weight = 1
 `
 
--- a/internal/dev/stop_test.go
+++ b/internal/dev/stop_test.go
@@ -43,6 +43,7 @@
 // Guards against a planned stop of one node that cuts off requests at its own
 // listeners, at the entry nodes that use it, or that runs a call it refuses.
 func TestPlannedStopUnderLoad(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	l := b.startLoad(b.Hosts...)
 	l.more(200)
@@ -56,6 +57,7 @@
 // Guards against a stop of the whole mesh, as by SIGINT in dev, that cuts off
 // requests because parts stop in the wrong order.
 func TestMeshStopUnderLoad(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	l := b.startLoad(b.Hosts...)
 	l.more(200)
@@ -66,7 +68,7 @@
 }
 
 // Guards against goroutines that outlive a stopped or killed mesh.
-func TestNoGoroutineIsLeft(t *testing.T) {
+func TestNoGoroutineIsLeft(t *testing.T) { // not parallel: other tests have goroutines
 	ours := func() string {
 		buffer := make([]byte, 1<<20)
 		var left []string
@@ -111,6 +113,7 @@
 
 // Guards against a drain that cuts off calls in flight or lets new ones start.
 func TestDrainWithCallsInFlight(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	release := make(chan struct{})
 	b.setHandler(func(_ *Host, _ http.ResponseWriter, r *http.Request) bool {
@@ -149,6 +152,7 @@
 // Guards against a killed node that makes a non-idempotent call run twice, an
 // idempotent one fail, or a refusal untrue.
 func TestKillUnderLoad(t *testing.T) {
+	t.Parallel()
 	b := startMesh(t, nil)
 	l := b.startLoad(b.Hosts[3], b.Hosts[4])
 	l.more(100)
