--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -73,6 +73,7 @@
 	Workspace mesh.Workspace
 	Deadline  time.Duration // same clock as now; zero means none
 	Resumed   bool          // a call of an action that was already admitted
+	Continued bool          // as Resumed, and a downstream call of the action has been answered
 }
 
 // Sample is what was measured on a call that ran.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -19,7 +19,7 @@
 	lane     link  // queue of its flow in its lane
 	age      link  // all queued calls of its class by arrival
 	class    mesh.Class
-	resumed  bool
+	progress uint8 // lane: the less the more was done for the action
 	running  bool
 }
 
@@ -29,8 +29,15 @@
 
 var emptyList = list{none, none}
 
-// lanes per class: resumed calls come first.
-const numLanes = 2
+// lanes per class. A refused call wastes what was done for its action, so calls
+// of actions that already have answers from downstream come first, then calls of
+// actions that were admitted.
+const (
+	laneContinued = iota
+	laneResumed
+	laneNew
+	numLanes
+)
 
 // flow is the state of one workspace.
 type flow struct {
@@ -49,8 +56,8 @@
 	flow int32
 }
 
-// queue holds the calls and the order in which they are served: class, resumed
-// before new, workspaces by start-time fair queueing, then arrival.
+// queue holds the calls and the order in which they are served: class, calls of
+// started actions before new ones, workspaces by start-time fair queueing, then arrival.
 type queue struct {
 	calls   []call
 	free    []int32
@@ -80,7 +87,7 @@
 	i := int32(len(q.flows))
 	f := flow{cost: 1}
 	for c := range f.lanes {
-		f.lanes[c] = [numLanes]list{emptyList, emptyList}
+		f.lanes[c] = [numLanes]list{emptyList, emptyList, emptyList}
 	}
 	q.flows = append(q.flows, f)
 	q.byName[w] = i
@@ -97,7 +104,7 @@
 		i = int32(len(q.calls))
 		q.calls = append(q.calls, call{})
 	}
-	q.calls[i] = call{id: r.Call, at: now, deadline: r.Deadline, flow: flow, class: r.Class, resumed: r.Resumed}
+	q.calls[i] = call{id: r.Call, at: now, deadline: r.Deadline, flow: flow, class: r.Class, progress: laneOf(r)}
 	q.index[r.Call] = i
 	return i
 }
@@ -108,18 +115,21 @@
 	q.free = append(q.free, i)
 }
 
-func (c *call) laneIndex() int {
-	if c.resumed {
-		return 0
+func laneOf(r Request) uint8 {
+	switch {
+	case r.Continued:
+		return laneContinued
+	case r.Resumed:
+		return laneResumed
 	}
-	return 1
+	return laneNew
 }
 
 // push queues a call.
 func (q *queue) push(i int32) {
 	c := &q.calls[i]
 	f := &q.flows[c.flow]
-	lane := c.laneIndex()
+	lane := int(c.progress)
 	l := &f.lanes[c.class][lane]
 	c.lane = link{prev: l.tail, next: none}
 	if l.tail == none {
@@ -150,7 +160,7 @@
 func (q *queue) unlink(i int32) {
 	c := &q.calls[i]
 	f := &q.flows[c.flow]
-	l := &f.lanes[c.class][c.laneIndex()]
+	l := &f.lanes[c.class][int(c.progress)]
 	if c.lane.prev == none {
 		l.head = c.lane.next
 	} else {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -45,6 +45,8 @@
 	class      mesh.Class
 	idempotent bool
 	resumed    bool
+	continued  bool // an earlier downstream call of the action has been answered
+	progressed bool // a downstream call of this call has been answered
 	depth      int
 	arrived    time.Duration
 	deadline   time.Duration
@@ -130,6 +132,7 @@
 
 // finish removes a call and cancels what it left running.
 func (n *Node) finish(now time.Duration, c *call) {
+	answered := c.phase == relaying && !c.failed
 	c.phase = ended
 	delete(n.calls, c.id)
 	if c.token != (Token{}) {
@@ -141,6 +144,7 @@
 	}
 	c.children = c.children[:0]
 	if c.parent != nil {
+		c.parent.progressed = c.parent.progressed || answered
 		c.parent.childEnded(now, c)
 		n.admission.Downstream(c.parent.id, len(c.parent.children) > 0)
 		c.parent = nil
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -221,6 +221,7 @@
 	c.service = ev.Service
 	c.idempotent = edge.idempotent
 	c.resumed = true
+	c.continued = parent.continued || parent.progressed
 	c.depth = parent.depth + 1
 	c.deadline = parent.deadline
 	if edge.timeout > 0 {
@@ -269,7 +270,7 @@
 	hop := Hop{
 		Action: c.action, Workspace: c.workspace, Service: c.service, Class: c.class,
 		Remaining: c.deadline - now, Allowance: c.lent, Attempt: c.attempt, Depth: c.depth,
-		Resumed: c.resumed, Idempotent: c.idempotent,
+		Resumed: c.resumed, Continued: c.continued, Idempotent: c.idempotent,
 	}
 	if c.redirected {
 		hop.Ticket = c.ticket
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -23,6 +23,7 @@
 	c.class = hop.Class
 	c.idempotent = hop.Idempotent
 	c.resumed = hop.Resumed
+	c.continued = hop.Continued
 	c.depth = hop.Depth
 	c.deadline = now + hop.Remaining
 	c.pool = retry.NewPool(hop.Allowance)
@@ -53,7 +54,7 @@
 	}
 	decision, reason := n.admission.Arrive(now, admission.Request{
 		Call: c.id, Action: c.action, Class: c.class, Workspace: c.workspace,
-		Deadline: c.deadline, Resumed: c.resumed,
+		Deadline: c.deadline, Resumed: c.resumed, Continued: c.continued,
 	})
 	switch decision {
 	case admission.Run:
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -61,6 +61,7 @@
 	Attempt    int
 	Depth      int
 	Resumed    bool // an earlier call of the action was admitted already
+	Continued  bool // an earlier downstream call of the action has been answered
 	Idempotent bool
 	Ticket     string // set if the receiver is to run the call as ticket owner
 	Wall       int64  // hybrid logical clock of the sender, nanoseconds
@@ -87,7 +88,7 @@
 	decimal("&d=", int64(h.Depth))
 	text("&i=", boolDigit(h.Idempotent))
 	decimal("&l=", int64(h.Allowance))
-	text("&m=", boolDigit(h.Resumed))
+	decimal("&m=", progressOf(h))
 	decimal("&n=", int64(h.Attempt))
 	hex("&p=", uint64(h.Wall))
 	hex("&q=", uint64(h.Logical))
@@ -98,6 +99,24 @@
 	return string(b)
 }
 
+// The bits of field m.
+const (
+	progressResumed   = 1
+	progressContinued = 2
+	maxProgress       = progressResumed | progressContinued
+)
+
+func progressOf(h Hop) int64 {
+	progress := 0
+	if h.Resumed {
+		progress |= progressResumed
+	}
+	if h.Continued {
+		progress |= progressContinued
+	}
+	return int64(progress)
+}
+
 func boolDigit(b bool) string {
 	if b {
 		return "1"
@@ -112,6 +131,7 @@
 		return Hop{}, errors.Wrap(err, "hop header")
 	}
 	p := fieldParser{values: v}
+	progress := p.between("m", maxProgress)
 	h := Hop{
 		Action:     mesh.ActionID(p.unsigned("a", 16, 64)),
 		Workspace:  mesh.Workspace(v.Get("w")),
@@ -121,7 +141,8 @@
 		Allowance:  p.between("l", maxAllowance),
 		Attempt:    p.between("n", maxAttempt),
 		Depth:      p.between("d", maxDepth),
-		Resumed:    v.Get("m") == "1",
+		Resumed:    progress&progressResumed != 0,
+		Continued:  progress&progressContinued != 0,
 		Idempotent: v.Get("i") == "1",
 		Ticket:     v.Get("t"),
 		Wall:       int64(p.unsigned("p", 16, 63)),
--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -31,6 +31,7 @@
 			Allowance:  rapid.IntRange(0, maxAllowance).Draw(t, "allowance"),
 			Depth:      rapid.IntRange(0, maxDepth).Draw(t, "depth"),
 			Resumed:    rapid.Bool().Draw(t, "resumed"),
+			Continued:  rapid.Bool().Draw(t, "continued"),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			Wall:       rapid.Int64Range(0, 1<<62).Draw(t, "wall"),
 			Logical:    rapid.Uint32().Draw(t, "logical"),
