--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -127,6 +127,33 @@
 	}
 }
 
+const (
+	// unreadLimit and unreadTimeout bound what is read of an upload that nobody
+	// wanted, so that its connection can be used again.
+	unreadLimit   = 64 << 10
+	unreadTimeout = time.Second
+)
+
+// finish reads the rest of a short streamed upload after the answer has been
+// sent. In full-duplex mode the server reads it after the handler has returned,
+// and then its own next read panics ("invalid concurrent Body.Read call").
+func (u *upload) finish(w http.ResponseWriter) {
+	if !u.streamed() || u.dropped.Load() || u.request.Header.Get("Expect") != "" {
+		return
+	}
+	control := http.NewResponseController(w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(unreadTimeout)) != nil {
+		return
+	}
+	_, err := io.CopyN(io.Discard, u.request.Body, unreadLimit)
+	if err == io.EOF {
+		_ = control.SetReadDeadline(time.Time{})
+		return
+	}
+	// The server closes the connection when it cannot read the rest either.
+	_ = control.SetReadDeadline(time.Now())
+}
+
 func (b *attemptBody) copyTrailers() {
 	for name := range b.trailer {
 		b.trailer[name] = b.upload.request.Trailer[name]
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -89,6 +89,7 @@
 		}
 		switch c.execute(&e) {
 		case finished:
+			c.upload.finish(c.w)
 			return
 		case aborted:
 			panic(http.ErrAbortHandler)
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -480,3 +480,24 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a server that panics on the next request of a connection
+// because the handler answered without reading a body of unknown length: the
+// caller's next request failed.
+func TestUnreadBodyKeepsTheConnection(t *testing.T) {
+	n := startNode(t, "entry", nil, nil)
+	conn := must(net.Dial("tcp", strings.TrimPrefix(n.callers, "http://")))
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testDeadline))
+	reader := bufio.NewReader(conn)
+	for i := range 3 {
+		io.WriteString(conn, "POST "+ticketPath+" HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			t.Fatalf("request %d: %v, close %v", i, err, resp.Close)
+		}
+	}
+}
