--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -43,6 +43,7 @@
 	nextSpread  time.Duration
 	nextAssign  time.Duration
 	nextFetch   time.Duration
+	fetchTurn   int  // member that was asked last
 	assignDirty bool // the assignments may need a change
 	assignCheck time.Duration
 	proposals   map[string]*proposal
@@ -277,7 +278,7 @@
 	out := make([]quota.Share, len(shares))
 	for i, s := range shares {
 		out[i] = quota.Share{Workspace: s.Workspace, Index: s.Index, Count: s.Count, Holder: s.Holder,
-			Epoch: s.Epoch, Offset: s.Offset, First: s.First}
+			Epoch: s.Epoch, Offset: s.Offset, First: s.First, PredecessorEpoch: s.PredecessorEpoch}
 	}
 	return out
 }
--- a/internal/engine/operate.go
+++ b/internal/engine/operate.go
@@ -140,6 +140,7 @@
 	Shares       []ShareReport // held by this node
 	Members      int           // in the log
 	Withdrawals  []string      // keys whose withdrawal the log does not carry yet
+	Panel        config.Panel
 }
 
 // ShareReport is one quota share that a node holds.
@@ -170,6 +171,7 @@
 	if n.control.freshUntil > 0 {
 		r.FreshUntil = n.wall(n.control.freshUntil)
 	}
+	r.Panel = n.state.Panel()
 	for _, id := range n.keys.Pending() {
 		r.Withdrawals = append(r.Withdrawals, string(id))
 	}
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -23,6 +23,7 @@
 	c.class = hop.Class
 	c.idempotent = hop.Idempotent
 	c.resumed = hop.Resumed
+	c.continued = hop.Continued
 	c.depth = hop.Depth
 	c.deadline = now + hop.Remaining
 	c.pool = retry.NewPool(hop.Allowance)
@@ -53,7 +54,7 @@
 	}
 	decision, reason := n.admission.Arrive(now, admission.Request{
 		Call: c.id, Action: c.action, Class: c.class, Workspace: c.workspace,
-		Deadline: c.deadline, Resumed: c.resumed,
+		Deadline: c.deadline, Resumed: c.resumed, Continued: c.continued,
 	})
 	switch decision {
 	case admission.Run:
@@ -125,10 +126,14 @@
 			n.admission.Gone(now, step.Call)
 			continue
 		}
-		if step.Decision == admission.Run {
+		if step.Decision == admission.Run && !n.members.Local(now).Lapsed {
 			n.run(now, c)
 			continue
 		}
+		if step.Decision == admission.Run {
+			n.admission.Gone(now, step.Call)
+			step.Reason = outcome.Draining
+		}
 		n.refusedLocally(now, c, step.Reason)
 	}
 }
@@ -313,7 +318,11 @@
 	}
 	earlier := c.ranAs
 	c.ranAs = worse(c.ranAs, r.Execution)
-	if c.redirected || c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
+	if c.redirected {
+		n.fail(now, c, r) // the owner of the ticket has decided
+		return
+	}
+	if c.serving || !replayable || n.cfg.Policy == admission.PolicyNone {
 		r.Execution = c.ranAs
 		n.fail(now, c, r)
 		return
@@ -380,6 +389,8 @@
 		return routing.Lost
 	case outcome.UpstreamFailed, outcome.AnswerCut:
 		return routing.Failed
+	case outcome.Draining, outcome.NoUpstream:
+		return routing.NotServing
 	default:
 		return routing.Refused
 	}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -14,6 +14,10 @@
 // its tickets.
 const handoverLimit = 5 * time.Second
 
+// successorGone is how long a successor must be unreachable until a stopping
+// node gives the handover up: nodes that stop together choose each other.
+const successorGone = time.Second
+
 // stopLinger is how long a stopped node goes on sending tickets and releases,
 // and redirecting calls, so that its peers learn of its successor.
 const stopLinger = 500 * time.Millisecond
@@ -34,7 +38,6 @@
 	}
 	n.control.successor = successor.Node
 	n.tickets.Close(now, successor.Node)
-	n.envelopes = n.quota.HandOver(now, successor.Node, n.envelopes)
 }
 
 // stopIfDone ends a planned stop once nothing is in flight.
@@ -49,22 +52,38 @@
 		return
 	}
 	if n.control.lingerUntil == 0 {
-		taken, _ := n.tickets.HandedOver() // a refusal by the successor is final too
-		if taken || n.control.successor.IsZero() || now >= n.control.handoverBy {
+		if n.handoverEnded(now) {
 			n.leave(now)
 		}
 		return
 	}
+	if len(n.calls) > 0 && now < n.control.stopBy {
+		return // calls that were redirected here meanwhile
+	}
 	if now >= n.control.lingerUntil {
 		n.stopped = true
 		n.emit(Effect{Kind: Stopped})
 	}
 }
 
+// handoverEnded reports whether nothing is left to wait for. A refusal by the
+// successor is final too.
+func (n *Node) handoverEnded(now time.Duration) bool {
+	taken, _ := n.tickets.HandedOver()
+	waited := now >= n.control.handoverBy
+	since, unreachable := n.control.unreachable[n.control.successor]
+	_, known := n.members.Lookup(n.control.successor)
+	gone := !known || unreachable && now >= since+successorGone
+	return taken || waited || gone || n.control.successor.IsZero()
+}
+
 func (n *Node) handOver(now time.Duration) {
 	n.control.handedOver = true
 	n.control.handoverBy = now + handoverLimit
 	h := n.tickets.Seal(now)
+	if !n.control.successor.IsZero() {
+		n.envelopes = n.quota.HandOver(now, n.control.successor, n.envelopes)
+	}
 	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -33,10 +33,16 @@
 	Operators func(*Process) http.Handler
 }
 
+// lameDuck is how long a stopping process answers on open connections with
+// Connection: close before it closes them. The engine passes the same time
+// with its handover, so it does not lengthen a stop.
+const lameDuck = 500 * time.Millisecond
+
 // Process is one running node process.
 type Process struct {
-	Self    mesh.Member
-	Metrics metrics.Registry
+	Self         mesh.Member
+	LocalAddress string // where the local upstream announces itself
+	Metrics      metrics.Registry
 
 	engine    *engine.Node
 	shell     *node.Node
@@ -46,9 +52,10 @@
 // New builds a process. Start serves.
 func New(cfg Config) (*Process, error) {
 	p := &Process{
-		Self:      cfg.Self,
-		Metrics:   metrics.NewRegistry(),
-		decisions: newDecisions(),
+		LocalAddress: cfg.Listeners.Local.Addr().String(),
+		Self:         cfg.Self,
+		Metrics:      metrics.NewRegistry(),
+		decisions:    newDecisions(),
 	}
 	p.engine = engine.New(engine.Config{
 		Self:       cfg.Self,
@@ -71,6 +78,7 @@
 		Log:       cfg.Log,
 		Truncated: truncated,
 		Decided:   p.decisions.decided,
+		LameDuck:  lameDuck,
 		Metrics:   p.Metrics,
 		Logger:    cfg.Logger,
 		Seed:      uint64(cfg.Self.Node.Incarnation),
