--- a/cmd/cardamomhatch/operate.go
+++ b/cmd/cardamomhatch/operate.go
@@ -169,8 +169,12 @@
 
 func confirm(ctx context.Context, s *streams, client *operator.Client, p operator.Plan, wait time.Duration, asJSON bool) error {
 	v, err := client.Confirm(ctx, p, wait)
+	var refused *operator.Error
+	if err != nil && !errors.As(err, &refused) {
+		return errors.Wrap(err, "no verdict; it is safe to confirm the same plan again")
+	}
 	if err != nil {
-		return errors.Wrap(err, "the confirmation may be repeated safely")
+		return err
 	}
 	return showVerdict(s, v, asJSON)
 }
@@ -210,8 +214,10 @@
 			fmt.Fprintf(&b, "  not yet on %s\n", host)
 		}
 	}
-	for _, host := range v.Unconfirmed {
-		fmt.Fprintf(&b, "not confirmed by %s\n", host)
+	if v.InForce == nil {
+		for _, host := range v.Unconfirmed {
+			fmt.Fprintf(&b, "not confirmed by %s\n", host)
+		}
 	}
 	switch {
 	case strings.HasPrefix(v.Ask, "/v1/proposals/"):
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -116,6 +116,10 @@
 	return record.Workspace, outcome.None
 }
 
+// Workspace returns the workspace of a key, also of a withdrawn one; it is empty
+// for a key that is not known here.
+func (t *Table) Workspace(id ID) mesh.Workspace { return t.records[id].Workspace }
+
 // Withdrawn reports whether a withdrawal of the key is known here.
 func (t *Table) Withdrawn(id ID) bool {
 	_, gone := t.withdrawn[id]
--- a/internal/operator/intents.go
+++ b/internal/operator/intents.go
@@ -271,6 +271,8 @@
 		// The node no longer keeps who confirmed: who has folded as much has the record.
 		v.InForce = a.awaitInForce(ctx, a.offset()-1, max(withdrawWait-time.Since(started), minAskInterval))
 		v.Unconfirmed = v.InForce.Missing
+	} else {
+		v.InForce = a.confirmed(v.Unconfirmed)
 	}
 	return v
 }
@@ -283,6 +285,14 @@
 	return in
 }
 
+// confirmed counts the members that confirmed a pending withdrawal.
+func (a *api) confirmed(missing []mesh.Host) *InForce {
+	f := &InForce{Missing: append([]mesh.Host{}, missing...)}
+	a.cfg.Node.View(func(n *engine.Node) { f.Members = n.Report().Members })
+	f.Of, f.Nodes = f.Members, f.Members-len(missing)
+	return f
+}
+
 // Key describes a key. Its secret is not known to any node.
 type Key struct {
 	ID        string         `json:"id"`
--- a/internal/operator/mesh_test.go
+++ b/internal/operator/mesh_test.go
@@ -15,6 +15,7 @@
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/operator"
 	"cardamomhatch/internal/standin/logserver"
+	"cardamomhatch/internal/timeline"
 )
 
 // deadline bounds what a test waits for; it is no statement about speed.
@@ -333,10 +334,22 @@
 				})
 			}
 			t.accepted(t.confirm(3, p))
+			t.recorded(firstWorkspace(t.mesh))
 		})
 	}
 }
 
+// recorded checks that the timeline of every node tells whose key was withdrawn.
+func (t *testMesh) recorded(ws mesh.Workspace) {
+	t.Helper()
+	for i, host := range t.mesh.Hosts {
+		events, err := t.client(i).Timeline(t.ctx, timeline.Filter{Workspace: ws, Kinds: []timeline.Kind{timeline.Withdrawn}})
+		if err != nil || len(events) != 1 {
+			t.Fatalf("host %s has recorded %v, %v", host.Name, events, err)
+		}
+	}
+}
+
 // Guards against a drain that only works at the node beside the upstream.
 func TestDrainAskedAtAnotherNode(tt *testing.T) {
 	t := start(tt)
