--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -233,9 +233,10 @@
 // foldNodeJoined replaces an earlier incarnation of the host. A late record of
 // that earlier incarnation is refused, so that it cannot return.
 func (s *State) foldNodeJoined(source version, m mesh.Member) Verdict {
-	if d, gone := s.recent.departed[m.Node]; gone {
+	if d, gone := s.recent.departed[m.Node]; gone && s.departedForGood(d) {
 		return conflict("node "+m.Node.String(), d.Source, "node has left or was replaced")
 	}
+	s.recent.readmit(m.Node)
 	if old, ok := s.members[m.Node.Host]; ok && old.member.Node != m.Node {
 		s.recent.addDeparted(departure{Node: old.member.Node, Source: source})
 	}
@@ -243,6 +244,14 @@
 	return Verdict{}
 }
 
+// departedForGood reports whether a node that left may not join again: it has
+// handed over to a successor, or another incarnation runs on its host. A node
+// that others removed because they could not reach it may.
+func (s *State) departedForGood(d departure) bool {
+	m, replaced := s.members[d.Node.Host]
+	return !d.Successor.IsZero() || replaced && m.member.Node != d.Node
+}
+
 // foldNodeLeft keeps the first successor that is named for a node.
 func (s *State) foldNodeLeft(source version, b *nodeLeftBody) Verdict {
 	if d, gone := s.recent.departed[b.Node]; gone && !d.Successor.IsZero() {
--- a/internal/config/recent.go
+++ b/internal/config/recent.go
@@ -71,6 +71,9 @@
 	r.queue = append(r.queue, expiry{offset: d.Source.Offset, node: d.Node})
 }
 
+// readmit forgets the departure of a node that has joined again.
+func (r *recent) readmit(n mesh.NodeID) { delete(r.departed, n) }
+
 // addOldShares remembers the shares of a workspace that was deleted.
 // A holder that has not heard of it may still use them: the first shares after a
 // new declaration of the workspace must not start at once. Fresh evidence is at
--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -40,6 +40,9 @@
 	n.control.assignCheck = now + assignCheckInterval
 	if !n.joined() {
 		n.control.assignDirty = true
+		if now < n.control.rejoinAt {
+			return
+		}
 		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
 		return
 	}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -23,6 +23,12 @@
 	// changed, in case the node that should have acted has not.
 	assignCheckInterval = 5 * time.Second
 	unreachableAfter    = 10 * time.Second
+
+	// A node that was removed joins again after a time that doubles with each
+	// removal. Two regions that cannot reach each other remove each other's nodes
+	// every time; at 25,000 nodes this keeps their joins below 30 a second.
+	minRejoin = time.Second
+	maxRejoin = 160 * time.Second
 )
 
 // maxKeptRecords bounds the records kept for peers that are behind; a peer that
@@ -45,6 +51,8 @@
 	nextFetch   time.Duration
 	fetchTurn   int  // member that was asked last
 	assignDirty bool // the assignments may need a change
+	removals    int  // times that others removed this node although it runs
+	rejoinAt    time.Duration
 	assignCheck time.Duration
 	proposals   map[string]*proposal
 	tasks       map[string]string // token of the proposal of an assignment task
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -229,6 +229,10 @@
 		n.foldDeparture(now, n.control.folded[i].Node)
 	}
 	m, present := n.state.Member(host)
+	if host == n.cfg.Self.Node.Host && found && !present && !n.stopping {
+		n.control.rejoinAt = now + min(minRejoin<<min(n.control.removals, 10), maxRejoin)
+		n.control.removals++
+	}
 	switch {
 	case present && found:
 		n.control.folded[i] = m
--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -75,3 +75,34 @@
 		t.Fatalf("host-0 after the outage began: %+v", got.refusal)
 	}
 }
+
+// Guards against a live node that others removed during a partition and that can
+// never join again, and against removals and joins that flood the log meanwhile.
+func TestPartitionedNodeJoinsAgain(t *testing.T) {
+	c := testCluster(t, 10)
+	alone := c.order[0]
+	c.cut = func(a, b mesh.Host) bool {
+		return (a == alone.member.Node.Host) != (b == alone.member.Node.Host)
+	}
+	before, removed := len(c.log), false
+	for range 120 {
+		c.run(time.Second)
+		removed = removed || !c.order[1].isMember(alone.member.Node)
+	}
+	if !removed {
+		t.Fatal("the node was never removed; the case is not reached")
+	}
+	if appends := len(c.log) - before; appends > 120 {
+		t.Fatalf("%d appends in a partition of 120 s", appends)
+	}
+	c.cut = func(a, b mesh.Host) bool { return false }
+	c.run(maxRejoin + 10*time.Second)
+	for _, n := range c.order {
+		if !n.isMember(alone.member.Node) {
+			t.Fatalf("%s does not list the node that was removed", n.member.Node.Host)
+		}
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); !got.whole {
+			t.Fatalf("entry %s: %v", n.member.Node.Host, got.refusal)
+		}
+	}
+}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -101,10 +101,13 @@
 // the first time can replace another: a list that is older than what peers said
 // since must not undo it each time it is folded.
 func (d *Directory) foldJoin(m *mesh.Member) {
-	if _, departed := d.left[m.Node]; departed {
-		return
-	}
 	index, known := d.hosts[m.Node.Host]
+	if successor, departed := d.left[m.Node]; departed {
+		if known || !successor.IsZero() {
+			return
+		}
+		delete(d.left, m.Node) // removed by others, and joined again since
+	}
 	if !known {
 		d.insert(entry{member: *m, folded: m.Node.Incarnation, fold: d.fold})
 		return
