--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -46,6 +46,10 @@
 		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
 		return
 	}
+	n.checkUnreachable()
+	if len(n.control.unreachable) > 0 && !n.reachesMajority(now) {
+		return
+	}
 	n.removeDead(now)
 	n.assignPanel(now)
 	n.assignShares(now)
@@ -79,13 +83,21 @@
 // assigns reports whether this node ranks first for a task among the members
 // that it can reach.
 func (n *Node) assigns(task string) bool {
-	own := mesh.RendezvousScore(task, n.cfg.Self.Node)
+	return n.joined() && n.assigner(task) == n.cfg.Self.Node
+}
+
+// assigner returns the member that ranks first for a task among those that this
+// node can reach.
+func (n *Node) assigner(task string) mesh.NodeID {
+	var best mesh.NodeID
+	var most uint64
 	for _, m := range n.control.folded {
-		if mesh.RendezvousScore(task, m.Node) > own && !n.isUnreachable(m.Node) {
-			return false
+		score := mesh.RendezvousScore(task, m.Node)
+		if (best.IsZero() || score > most) && !n.isUnreachable(m.Node) {
+			best, most = m.Node, score
 		}
 	}
-	return n.joined()
+	return best
 }
 
 func (n *Node) isUnreachable(node mesh.NodeID) bool {
@@ -120,24 +132,63 @@
 	}
 }
 
-// removeDead records the departure of nodes that have been unreachable for
-// long. A node that is alive after all joins again when it reads this.
-func (n *Node) removeDead(now time.Duration) {
-	for _, node := range slices.SortedFunc(maps.Keys(n.control.unreachable), compareNodes) {
+// checkUnreachable asks the nodes that could not be reached for a sign of life,
+// and tells the nodes that would remove them.
+func (n *Node) checkUnreachable() {
+	for _, node := range n.unreachableNodes() {
 		if !n.isMember(node) {
 			delete(n.control.unreachable, node)
 			continue
 		}
-		overdue := now-n.control.unreachable[node] >= unreachableAfter
-		if !overdue || !n.assigns("remove "+string(node.Host)) {
+		n.post(node, StatusRequest{})
+		if assigner := n.assigner(removal(node)); assigner != n.cfg.Self.Node {
+			n.post(assigner, Suspect{Node: node})
+		}
+	}
+}
+
+// removeDead records the departure of nodes that have been unreachable for
+// long. A node that is alive after all joins again when it reads this.
+func (n *Node) removeDead(now time.Duration) {
+	for _, node := range n.unreachableNodes() {
+		if now-n.control.unreachable[node] < unreachableAfter || !n.assigns(removal(node)) {
 			continue
 		}
-		n.proposeOnce(now, "remove "+node.String(), func(h config.Header) ([]byte, error) {
+		n.proposeOnce(now, removal(node), func(h config.Header) ([]byte, error) {
 			return config.NewNodeLeft(h, node, mesh.NodeID{})
 		})
 	}
 }
 
+func removal(node mesh.NodeID) string { return "remove " + node.String() }
+
+func (n *Node) unreachableNodes() []mesh.NodeID {
+	return slices.SortedFunc(maps.Keys(n.control.unreachable), compareNodes)
+}
+
+// reachesMajority asks the panel for a sign of life and reports whether a
+// majority has given one lately. A node that is cut off itself, but reaches the
+// log, must not remove all others.
+func (n *Node) reachesMajority(now time.Duration) bool {
+	for _, member := range n.state.Panel().Members {
+		if member != n.cfg.Self.Node {
+			n.post(member, StatusRequest{})
+		}
+	}
+	return n.evidence.Majority(func(node mesh.NodeID) bool {
+		s, known := n.control.status[node]
+		return node == n.cfg.Self.Node || known && now-s.At <= 2*assignInterval
+	})
+}
+
+// suspected checks a node that another one cannot reach. Only what this node
+// finds itself can lead to a removal.
+func (n *Node) suspected(node mesh.NodeID) {
+	if n.isMember(node) && !n.isUnreachable(node) && node != n.cfg.Self.Node {
+		n.post(node, StatusRequest{})
+	}
+}
+
 // isMember reports whether the log lists a node.
 func (n *Node) isMember(node mesh.NodeID) bool {
 	m, ok := n.state.Member(node.Host)
@@ -179,7 +230,7 @@
 // wantedPanel keeps the members that are still there and fills up by rank, one
 // data centre after the other.
 func (n *Node) wantedPanel(p config.Panel) []mesh.NodeID {
-	members := rank("panel", n.reachable())
+	members := rank("panel", n.control.folded)
 	size := maxPanel
 	if n.dataCentres(members) >= largeDataCentres {
 		size = maxPanelLarge
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -201,6 +201,8 @@
 		n.recordsRequested(e.From, m)
 	case RecordsReply:
 		n.recordsReceived(now, m)
+	case Suspect:
+		n.suspected(m.Node)
 	case StatusRequest:
 		n.post(e.From, n.statusReply())
 	case StatusReply:
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -33,6 +33,13 @@
 // DrainReply says that the sender's upstream drains.
 type DrainReply struct{ Token string }
 
+// Suspect tells the node that would remove another one that the sender cannot
+// reach it.
+type Suspect struct{ Node mesh.NodeID }
+
+// MessageName implements mesh.Message.
+func (Suspect) MessageName() string { return "suspect" }
+
 // MessageName implements mesh.Message.
 func (RecordsRequest) MessageName() string { return "records-request" }
 
@@ -56,6 +63,7 @@
 	mesh.RegisterMessage(RecordsReply{})
 	mesh.RegisterMessage(StatusRequest{})
 	mesh.RegisterMessage(StatusReply{})
+	mesh.RegisterMessage(Suspect{})
 	mesh.RegisterMessage(DrainRequest{})
 	mesh.RegisterMessage(DrainReply{})
 }
--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -85,9 +85,16 @@
 		return (a == alone.member.Node.Host) != (b == alone.member.Node.Host)
 	}
 	before, removed := len(c.log), false
-	for range 120 {
+	for i := range 120 {
+		c.call(c.order[1+i%4], "bjorn", "GET", "/items/1", "")
+		c.call(alone, "bjorn", "GET", "/items/1", "")
 		c.run(time.Second)
 		removed = removed || !c.order[1].isMember(alone.member.Node)
+		for _, n := range c.order[1:] {
+			if !c.order[1].isMember(n.member.Node) {
+				t.Fatalf("%s of the majority was removed", n.member.Node.Host)
+			}
+		}
 	}
 	if !removed {
 		t.Fatal("the node was never removed; the case is not reached")
@@ -106,3 +113,17 @@
 		}
 	}
 }
+
+// Guards against a node that is removed because one message to it failed, with
+// no later message that could show that it is reachable.
+func TestOneFailedMessageRemovesNobody(t *testing.T) {
+	c := testCluster(t, 11)
+	suspect := c.order[0].member.Node
+	for _, n := range c.order[1:] {
+		c.step(n, &PeerUnreachable{Node: suspect})
+	}
+	c.run(2 * unreachableAfter)
+	if !c.order[1].isMember(suspect) {
+		t.Fatal("a reachable node was removed")
+	}
+}
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -302,6 +302,9 @@
 		n.attemptOver(now, c, r, ev.Replayable)
 		n.pump(now)
 	case waitsForPeer:
+		if ev.Reason == outcome.ConnectFailed {
+			n.peerUnreachable(now, c.target)
+		}
 		if ev.Execution == outcome.NotRun {
 			c.budget().Return(c.lent)
 			c.lent = 0
