--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -75,3 +75,55 @@
 		t.Fatalf("host-0 after the outage began: %+v", got.refusal)
 	}
 }
+
+// Guards against a live node that others removed during a partition and that can
+// never join again, and against removals and joins that flood the log meanwhile.
+func TestPartitionedNodeJoinsAgain(t *testing.T) {
+	c := testCluster(t, 10)
+	alone := c.order[0]
+	c.cut = func(a, b mesh.Host) bool {
+		return (a == alone.member.Node.Host) != (b == alone.member.Node.Host)
+	}
+	before, removed := len(c.log), false
+	for i := range 120 {
+		c.call(c.order[1+i%4], "bjorn", "GET", "/items/1", "")
+		c.call(alone, "bjorn", "GET", "/items/1", "")
+		c.run(time.Second)
+		removed = removed || !c.order[1].isMember(alone.member.Node)
+		for _, n := range c.order[1:] {
+			if !c.order[1].isMember(n.member.Node) {
+				t.Fatalf("%s of the majority was removed", n.member.Node.Host)
+			}
+		}
+	}
+	if !removed {
+		t.Fatal("the node was never removed; the case is not reached")
+	}
+	if appends := len(c.log) - before; appends > 120 {
+		t.Fatalf("%d appends in a partition of 120 s", appends)
+	}
+	c.cut = func(a, b mesh.Host) bool { return false }
+	c.run(maxRejoin + 10*time.Second)
+	for _, n := range c.order {
+		if !n.isMember(alone.member.Node) {
+			t.Fatalf("%s does not list the node that was removed", n.member.Node.Host)
+		}
+		if got := c.call1(n, "anna", "GET", "/items/1", ""); !got.whole {
+			t.Fatalf("entry %s: %v", n.member.Node.Host, got.refusal)
+		}
+	}
+}
+
+// Guards against a node that is removed because one message to it failed, with
+// no later message that could show that it is reachable.
+func TestOneFailedMessageRemovesNobody(t *testing.T) {
+	c := testCluster(t, 11)
+	suspect := c.order[0].member.Node
+	for _, n := range c.order[1:] {
+		c.step(n, &PeerUnreachable{Node: suspect})
+	}
+	c.run(2 * unreachableAfter)
+	if !c.order[1].isMember(suspect) {
+		t.Fatal("a reachable node was removed")
+	}
+}
