--- a/cmd/cardamomhatch/experiment.go
+++ b/cmd/cardamomhatch/experiment.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,7 @@
 	Seed        uint64        `default:"1" help:"Seed of arrivals, choices and service times."`
 	Duration    time.Duration `default:"16s" help:"Measured time of a scenario, without the warm-up."`
 	JSON        string        `placeholder:"FILE" help:"Write the results as JSON to FILE; - is standard output."`
+	Plot        string        `placeholder:"DIR" help:"Write an SVG picture of each run into DIR."`
 }
 
 // Run runs the scenarios and fails if an expected outcome is missed.
@@ -64,6 +66,11 @@
 }
 
 func (c *experimentCommand) write(results []*experiment.Result) error {
+	if c.Plot != "" {
+		if err := c.plot(results); err != nil {
+			return err
+		}
+	}
 	if c.JSON == "-" {
 		return experiment.WriteJSON(os.Stdout, results)
 	}
@@ -76,6 +83,19 @@
 	return experiment.WriteTable(os.Stdout, results)
 }
 
+func (c *experimentCommand) plot(results []*experiment.Result) error {
+	if err := os.MkdirAll(c.Plot, 0o755); err != nil {
+		return errors.Wrap(err, "directory of plots")
+	}
+	for _, r := range results {
+		name := fmt.Sprintf("%s-%s-%s-%d.svg", r.Deployment, r.Scenario, r.Policy, r.Seed)
+		if err := writeFile(filepath.Join(c.Plot, name), r.WriteSVG); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
 	if err != nil {
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -62,6 +62,52 @@
 	}
 }
 
+// Guards against calls of actions that have answers from downstream behind
+// calls whose refusal wastes less.
+func TestContinuedActionsFirst(t *testing.T) {
+	c := one(t)
+	for i, r := range []Request{
+		{Workspace: "a", Class: mesh.ClassNormal},
+		{Workspace: "a", Class: mesh.ClassNormal, Resumed: true},
+		{Workspace: "a", Class: mesh.ClassNormal, Resumed: true, Continued: true},
+		{Workspace: "b", Class: mesh.ClassHigh},
+	} {
+		r.Call = mesh.CallID(10 + i)
+		c.Arrive(0, r)
+	}
+	if got, want := order(c, ms, 1), []mesh.CallID{13, 12, 11, 10}; !slices.Equal(got, want) {
+		t.Fatalf("order %v, want %v", got, want)
+	}
+}
+
+// Guards against calls that wait for a slow service below and keep calls out that
+// this upstream could work on, and against more calls in flight than slots.
+func TestDownstreamLeavesTheLimit(t *testing.T) {
+	c := one(t)
+	c.SetSlots(0, 2, 0)
+	c.limiter.limit = 1
+	c.Arrive(0, Request{Call: 2})
+	c.Downstream(1, true)
+	if step, ok := c.Next(0); !ok || step.Call != 2 || step.Decision != Run {
+		t.Fatalf("beside a call that waits below: %v %v", step, ok)
+	}
+	c.Downstream(2, true)
+	c.Arrive(0, Request{Call: 3})
+	if step, ok := c.Next(0); ok {
+		t.Fatalf("a third call with two slots: %v", step)
+	}
+	c.Gone(0, 1)
+	if step, ok := c.Next(0); !ok || step.Call != 3 {
+		t.Fatalf("after a waiting call has gone: %v %v", step, ok)
+	}
+	c.Downstream(2, false)
+	c.Done(ms, 2, Sample{Latency: ms})
+	c.Done(ms, 3, Sample{Latency: ms})
+	if c.inFlight != 0 || c.away != 0 {
+		t.Fatalf("%d in flight and %d waiting below at the end", c.inFlight, c.away)
+	}
+}
+
 // Guards against weights that do not set the workspaces' shares.
 func TestWeights(t *testing.T) {
 	c := one(t)
--- a/internal/engine/node.go
+++ b/internal/engine/node.go
@@ -188,6 +188,9 @@
 // AdmissionLoad returns the state of the local upstream's admission.
 func (n *Node) AdmissionLoad() admission.Load { return n.admission.Load(n.lastNow) }
 
+// AdmissionCut returns the cut that the local upstream publishes.
+func (n *Node) AdmissionCut() mesh.Cut { return n.admission.Cut(n.lastNow) }
+
 // configured reports whether a configuration is known and complete.
 func (n *Node) configured() bool { return !n.control.gap && n.state.Configured() }
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -24,6 +24,8 @@
 	TimeScale  float64 `json:"time_scale"` // on the deployment's service times
 	Measured   float64 `json:"measured_s"`
 	Demand     float64 `json:"demand_per_second"` // actions, without the cause
+	CauseStart float64 `json:"cause_start_s"`     // from the first arrival
+	CauseEnd   float64 `json:"cause_end_s"`
 	Figures
 	Endings    map[string]int `json:"endings"` // measured requests by their end
 	Critical   map[string]int `json:"critical_endings"`
@@ -43,6 +45,7 @@
 	out := &Result{
 		Deployment: r.options.Deployment, Scenario: r.scenario.Name, Policy: r.options.Policy.String(),
 		Seed: r.options.Seed, TimeScale: TimeScale, Measured: r.options.Duration.Seconds(), Demand: r.plan.Rate,
+		CauseStart: r.phases.CauseStart.Seconds(), CauseEnd: r.phases.CauseEnd.Seconds(),
 		Figures: r.figures(), Endings: r.endings(mesh.NumClasses), Critical: r.endings(mesh.ClassCritical + 1), Violations: r.violations(), Misses: []string{},
 	}
 	out.Series = r.series()
--- a/internal/experiment/series.go
+++ b/internal/experiment/series.go
@@ -7,6 +7,7 @@
 
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/load"
+	"cardamomhatch/internal/mesh"
 )
 
 // sampleInterval is the time between two samples of the nodes, and the bin of
@@ -23,6 +24,8 @@
 	InFlight int `json:"in_flight"`
 	Queue    int `json:"queue"`
 	Limit    int `json:"limit"`
+	// Cut is the mean cut of its nodes: the number of classes that are admitted.
+	Cut float64 `json:"cut"`
 }
 
 // sampler reads the admission state of nodes while a run lasts.
@@ -48,9 +51,11 @@
 			sum.InFlight += load.InFlight
 			sum.Queue += load.Queued
 			sum.Limit += load.Limit
+			sum.Cut += cutLevel(n.AdmissionCut())
 		})
 	}
 	s.run.hostsMu.Unlock()
+	sum.Cut /= float64(len(s.run.hosts(s.run.plan.bottleneck())))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.samples == nil {
@@ -84,6 +89,8 @@
 	return bins
 }
 
+func cutLevel(c mesh.Cut) float64 { return float64(c.Class) + float64(c.Share)/mesh.CutScale }
+
 func (s *Sample) refuse(reason string) {
 	if s.Refused == nil {
 		s.Refused = map[string]int{}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -58,9 +58,12 @@
 	RespectRetryAfter bool
 	// Tickets uses a ticket on routes that are not idempotent, and thereby allows
 	// client retries of them. Without, they are retried only if proven not run.
-	Tickets   bool
-	Transport http.RoundTripper // nil means one of the run's own
-	Progress  func(Progress)    // called every second and at the end; may be nil
+	Tickets bool
+	// FreshTickets gets a ticket per request instead of using those of earlier
+	// answers, whose owners may be gone by then.
+	FreshTickets bool
+	Transport    http.RoundTripper // nil means one of the run's own
+	Progress     func(Progress)    // called every second and at the end; may be nil
 	// Usable reports whether a target accepts connections; nil means all do. A
 	// client with several addresses skips one that refuses connections.
 	Usable func(target string) bool
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -148,7 +148,7 @@
 	c.attempts++
 	end, header := c.send(ctx, c.route.Method, c.route.Path, c.route.Body)
 	c.report(end, header)
-	if c.runner.cfg.Tickets && !c.route.Idempotent && header != nil {
+	if c.runner.cfg.Tickets && !c.runner.cfg.FreshTickets && !c.route.Idempotent && header != nil {
 		c.pool.put(header.Get(ticketHeader))
 	}
 	return end
