--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -34,16 +34,19 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	sockets  gracefulListener // below TLS
 }
 
 func newServer(l net.Listener, config *tls.Config, h http.Handler) *server {
 	if l == nil {
 		return nil
 	}
+	sockets := gracefulListener{l}
+	l = sockets
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	return &server{listener: l, http: &http.Server{
+	return &server{listener: l, sockets: sockets, http: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       2 * idleTimeout, // the connecting side closes first
@@ -228,7 +231,7 @@
 func (n *Node) stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	if s := n.servers.callers; s != nil {
-		s.listener.Close()
+		s.sockets.stopAccepting()
 	}
 	n.Step(&engine.StopRequested{})
 	err := wait(ctx, time.After(n.cfg.LameDuck))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -34,9 +34,9 @@
 }
 
 // lameDuck is how long a stopping process answers on open connections with
-// Connection: close before it closes them. The engine passes the same time
-// with its handover, so it does not lengthen a stop.
-const lameDuck = 500 * time.Millisecond
+// Connection: close before it closes them. With 500 ms, a caller that the
+// machine had stalled still found its connection closed.
+const lameDuck = time.Second
 
 // Process is one running node process.
 type Process struct {
