--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -381,6 +381,8 @@
 		return routing.Lost
 	case outcome.UpstreamFailed, outcome.AnswerCut:
 		return routing.Failed
+	case outcome.Draining, outcome.NoUpstream:
+		return routing.Leaving
 	default:
 		return routing.Refused
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -19,6 +19,7 @@
 	Refused          // the serving node or its upstream refused the call for load
 	Lost             // no connection, or the connection broke
 	Cancelled        // the caller gave up; says nothing about the node
+	Leaving          // the node takes no work: it drains or has no upstream
 )
 
 // Report is the load that a node states about its upstream. The zero value
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -97,6 +97,7 @@
 	faults := map[string]behaviour{
 		"fails fast":   func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Failed} },
 		"refuses fast": func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Refused} },
+		"leaves":       func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Leaving} },
 		"dead":         func(time.Duration, int) Sample { return Sample{Latency: ms, Result: Lost} },
 		"hangs":        func(time.Duration, int) Sample { return Sample{Latency: 500 * ms, Result: Lost} },
 	}
@@ -106,6 +107,10 @@
 		nodes[0] = fault
 		calls, failures := drive(t, table, members, nodes, time.Second, 11*time.Second)
 		share := float64(failures[0]) / 10_000
+		// More than the reserve of an edge, 10 retries, would fail calls.
+		if name == "leaves" && failures[0] > 10 {
+			t.Errorf("a leaving node got %d of 10000 calls", failures[0])
+		}
 		t.Logf("%-12s %d of 10000 calls reached the node", name, calls[0])
 		if share > goalRefused {
 			t.Errorf("%s: %.4f of the calls failed, goal %.2f", name, share, goalRefused)
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -63,6 +63,8 @@
 		if n.failures >= failuresInRow {
 			n.suspend(now)
 		}
+	case Leaving:
+		n.suspend(now)
 	case Lost:
 		n.failures++
 		n.penalty = min(n.penalty+failedPenalty, maxPenalty)
