--- a/internal/engine/node.go
+++ b/internal/engine/node.go
@@ -43,6 +43,7 @@
 	calls    map[mesh.CallID]*call
 	running  map[Token]*call // calls at the local upstream
 	spare    *call
+	loads    []Load // reports to hand out
 	due      []mesh.CallID
 	pumping  bool
 	stopping bool
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -424,7 +424,22 @@
 	}
 	returned := c.pool.Left()
 	c.pool = retry.Pool{}
-	return &Load{InFlight: load.InFlight, Limit: load.Limit, QueueWait: load.Wait, Cut: cut, Returned: returned}
+	report := n.newLoad()
+	*report = Load{InFlight: load.InFlight, Limit: load.Limit, QueueWait: load.Wait, Cut: cut, Returned: returned}
+	return report
+}
+
+// loadSlab is the number of load reports that are allocated together: one
+// report for each serving decision would be its only allocation.
+const loadSlab = 64
+
+func (n *Node) newLoad() *Load {
+	if len(n.loads) == 0 {
+		n.loads = make([]Load, loadSlab)
+	}
+	report := &n.loads[0]
+	n.loads = n.loads[1:]
+	return report
 }
 
 func (n *Node) callGone(now time.Duration, ev *CallGone) {
