--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -292,7 +292,7 @@
 	stamp := n.clock.Now(n.wall(now))
 	hop.Wall, hop.Logical = stamp.Wall, stamp.Logical
 	n.record(now, timeline.Started, c, outcome.None, int64(c.attempt))
-	n.emit(Effect{Kind: Forward, Call: c.id, Attempt: c.attempt, Member: member, Hop: hop})
+	n.emit(Effect{Kind: Forward, At: now, Call: c.id, Attempt: c.attempt, Member: member, Hop: hop})
 }
 
 // partToLend returns how much of the allowance travels with an attempt. The
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -149,6 +149,12 @@
 // Tick reports that time has passed. The shell sends it every TickInterval.
 type Tick struct{}
 
+// MaxDecisionAge is how long after its decision a Forward or Run may be executed.
+// The process can be paused in between; a key can be withdrawn meanwhile, or the
+// credit that the call took be counted as expired. The shell reports a later one
+// as failed with NotRun and DecisionExpired.
+const MaxDecisionAge = 500 * time.Millisecond
+
 // TickInterval is the interval at which the shell sends Tick.
 const TickInterval = 10 * time.Millisecond
 
@@ -220,6 +226,7 @@
 // allocate per effect.
 type Effect struct {
 	Kind      EffectKind
+	At        time.Duration // time of the decision, set on Forward and Run
 	Call      mesh.CallID
 	Attempt   int
 	Refusal   outcome.Refusal
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -105,7 +105,7 @@
 	}
 	n.running[c.token] = c
 	n.record(now, timeline.Started, c, outcome.None, int64(c.attempt))
-	n.emit(Effect{Kind: Run, Call: c.id, Attempt: c.attempt, Token: c.token, Remaining: c.deadline - now,
+	n.emit(Effect{Kind: Run, At: now, Call: c.id, Attempt: c.attempt, Token: c.token, Remaining: c.deadline - now,
 		Hop: Hop{Workspace: c.workspace, Service: c.service, Action: c.action}})
 }
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -33,6 +33,9 @@
 
 // forward sends the call to the peer listener of another node.
 func (c *call) forward(e *engine.Effect) {
+	if c.expired(e) {
+		return
+	}
 	header := c.attemptHeader()
 	header[engine.HopHeader] = []string{e.Hop.Encode()}
 	header[peer.FromHeader] = []string{peer.FormatNode(c.node.cfg.Self)}
@@ -51,6 +54,9 @@
 
 // run sends the call to the local upstream.
 func (c *call) run(e *engine.Effect) {
+	if c.expired(e) {
+		return
+	}
 	up := c.node.upstream.Load()
 	if up == nil {
 		c.failed(e.Attempt, outcome.NotRun, outcome.ConnectFailed)
@@ -74,6 +80,16 @@
 	})
 }
 
+// expired reports the attempt as failed if the process was paused for too long
+// between the decision and its execution.
+func (c *call) expired(e *engine.Effect) bool {
+	if c.node.now()-e.At <= engine.MaxDecisionAge {
+		return false
+	}
+	c.failed(e.Attempt, outcome.NotRun, outcome.DecisionExpired)
+	return true
+}
+
 // attemptHeader returns the header for the next attempt, without the internal
 // headers of earlier ones. The first attempt uses the header of the call
 // itself; later ones a copy, because a cancelled attempt may still read its own.
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -501,3 +501,28 @@
 		}
 	}
 }
+
+// Guards against a call that is sent long after its decision, because the
+// process was paused, with a key that was withdrawn or credit that was counted
+// as expired in between.
+func TestOldDecisionIsNotExecuted(t *testing.T) {
+	ran := false
+	p := startPair(t, nil, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
+	p.entry.script(func(ev engine.Event, out []engine.Effect) ([]engine.Effect, bool) {
+		e, ok := ev.(*engine.CallArrived)
+		if !ok {
+			return out, false
+		}
+		hop := engine.Hop{Workspace: "w1", Remaining: testDeadline}
+		return append(out, engine.Effect{Kind: engine.Forward, At: -engine.MaxDecisionAge - 1, Call: e.Call,
+			Attempt: 1, Member: p.serving.member, Hop: hop}), true
+	})
+	resp, _, err := do(client(t, nil), request(t, "POST", p.entry.callers+"/x", "body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal, _ := outcome.Parse(resp.Header)
+	if refusal.Execution != outcome.NotRun || refusal.Reason != outcome.DecisionExpired || ran {
+		t.Fatalf("got %s %+v, ran %t", resp.Status, refusal, ran)
+	}
+}
--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -33,7 +33,19 @@
 
 const testDeadline = 20 * time.Second
 
-func (m *fakeMachine) Step(_ time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect {
+// Step dates decisions now, unless the script has dated them.
+func (m *fakeMachine) Step(now time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect {
+	before := len(out)
+	out = m.step(ev, out)
+	for i := before; i < len(out); i++ {
+		if out[i].At == 0 {
+			out[i].At = now
+		}
+	}
+	return out
+}
+
+func (m *fakeMachine) step(ev engine.Event, out []engine.Effect) []engine.Effect {
 	if _, tick := ev.(*engine.Tick); !tick && m.seen != nil {
 		m.mu.Lock()
 		m.events = append(m.events, ev)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -66,6 +66,7 @@
 	TicketHandedOver
 	AnswerNotStored
 	BadRequest
+	DecisionExpired
 
 	numReasons
 )
@@ -104,6 +105,7 @@
 	TicketHandedOver: {"ticket-handed-over", http.StatusServiceUnavailable},
 	AnswerNotStored:  {"answer-not-stored", http.StatusConflict},
 	BadRequest:       {"bad-request", http.StatusBadRequest},
+	DecisionExpired:  {"decision-expired", http.StatusServiceUnavailable},
 }
 
 // String returns the name used on the wire.
