--- a/internal/engine/routes.go
+++ b/internal/engine/routes.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"cardamomhatch/internal/declaration"
@@ -17,10 +18,25 @@
 	routes  map[string]declaration.Route // by mux pattern
 	request http.Request
 	url     url.URL
+	known   map[target]declaration.Route // recent matches
 }
 
+// target is what a route is matched by.
+type target struct{ method, path string }
+
+// Bounds of the recent matches: 1,024 paths of at most 128 bytes. Matching by
+// http.ServeMux allocates, and most calls are for paths that were seen before.
+const (
+	maxKnownRoutes = 1024
+	maxKnownPath   = 128
+)
+
 func newRouteTable(routes []declaration.Route) *routeTable {
-	t := &routeTable{mux: http.NewServeMux(), routes: make(map[string]declaration.Route, len(routes))}
+	t := &routeTable{
+		mux:    http.NewServeMux(),
+		routes: make(map[string]declaration.Route, len(routes)),
+		known:  make(map[target]declaration.Route),
+	}
 	for _, r := range routes {
 		pattern := r.Method + " " + r.Pattern
 		t.routes[pattern] = r
@@ -31,6 +47,20 @@
 
 // match returns the route of a call.
 func (t *routeTable) match(method, path string) (declaration.Route, bool) {
+	if r, ok := t.known[target{method, path}]; ok {
+		return r, true
+	}
+	r, ok := t.lookUp(method, path)
+	if ok && len(path) <= maxKnownPath {
+		if len(t.known) == maxKnownRoutes {
+			clear(t.known)
+		}
+		t.known[target{strings.Clone(method), strings.Clone(path)}] = r
+	}
+	return r, ok
+}
+
+func (t *routeTable) lookUp(method, path string) (declaration.Route, bool) {
 	t.url.Path = path
 	t.request.Method = method
 	t.request.URL = &t.url
