--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -124,7 +124,7 @@
 	case KindKeyWithdrawn:
 		return s.foldKeyWithdrawn(source, r.KeyWithdrawn.ID)
 	case KindNodeJoined:
-		return s.foldNodeJoined(source, *r.NodeJoined)
+		return s.foldNodeJoined(source, *r.NodeJoined, r.After)
 	case KindNodeLeft:
 		return s.foldNodeLeft(source, r.NodeLeft)
 	case KindPanel:
@@ -231,9 +231,16 @@
 }
 
 // foldNodeJoined replaces an earlier incarnation of the host. A late record of
-// that earlier incarnation is refused, so that it cannot return.
-func (s *State) foldNodeJoined(source version, m mesh.Member) Verdict {
-	if d, gone := s.recent.departed[m.Node]; gone {
+// that earlier incarnation is refused, so that it cannot return. A node that
+// others removed while they did not reach it returns by a record that it made
+// after it had read of its removal.
+func (s *State) foldNodeJoined(source version, m mesh.Member, after uint64) Verdict {
+	d, gone := s.recent.departed[m.Node]
+	if gone && after > d.Source.Offset && s.MayJoin(m.Node) {
+		delete(s.recent.departed, m.Node)
+		gone = false
+	}
+	if gone {
 		return conflict("node "+m.Node.String(), d.Source, "node has left or was replaced")
 	}
 	if old, ok := s.members[m.Node.Host]; ok && old.member.Node != m.Node {
@@ -317,10 +324,11 @@
 	if st == nil || len(st.shares) != count {
 		return next
 	}
-	if st.shares[index].Holder == holder {
-		return st.shares[index]
+	previous := st.shares[index]
+	if previous.Holder == holder {
+		return previous
 	}
-	next.Predecessor = st.shares[index].Holder
-	next.PredecessorEpoch = st.shares[index].Epoch
+	next.Predecessor = previous.Holder
+	next.PredecessorEpoch = previous.Epoch
 	return next
 }
--- /dev/null
+++ b/internal/config/fold_rejoin_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"testing"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// Guards against a late join record that brings a removed node back, and against
+// a node that cannot return after it has read of its removal.
+func TestRemovedNodeReturnsOnlyAfterItReadOfIt(t *testing.T) {
+	s := New()
+	node := mesh.Member{Node: mesh.NodeID{Host: "a", Incarnation: 1}}
+	next := node
+	next.Node.Incarnation = 2
+	token := byte(0)
+	fold := func(after uint64, build func(Header) ([]byte, error)) VerdictKind {
+		t.Helper()
+		token++
+		data, err := build(Header{Token: Token{token}, By: node.Node, After: after})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Fold(s.Offset(), data).Kind
+	}
+	join := func(m mesh.Member) func(Header) ([]byte, error) {
+		return func(h Header) ([]byte, error) { return NewNodeJoined(h, m) }
+	}
+	leave := func(successor mesh.NodeID) func(Header) ([]byte, error) {
+		return func(h Header) ([]byte, error) { return NewNodeLeft(h, node.Node, successor) }
+	}
+	steps := []struct {
+		after uint64
+		build func(Header) ([]byte, error)
+		want  VerdictKind
+	}{
+		{0, join(node), Accepted},
+		{1, leave(mesh.NodeID{}), Accepted},
+		{1, join(node), Conflict}, // made before it had read of its removal
+		{3, join(node), Accepted},
+		{4, leave(next.Node), Accepted}, // planned
+		{5, join(node), Conflict},
+		{6, join(next), Accepted},
+		{7, join(node), Conflict},
+	}
+	for i, step := range steps {
+		if got := fold(step.after, step.build); got != step.want {
+			t.Errorf("record %d: %v, want %v", i, got, step.want)
+		}
+	}
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -207,6 +207,18 @@
 	return d.Successor, ok
 }
 
+// MayJoin reports whether a join record of a node, made on this state, would be
+// accepted: no other incarnation is listed for its host, and the node did not
+// leave as planned.
+func (s *State) MayJoin(n mesh.NodeID) bool {
+	d, gone := s.recent.departed[n]
+	if !gone {
+		return true
+	}
+	other, listed := s.members[n.Host]
+	return d.Successor.IsZero() && (!listed || other.member.Node == n)
+}
+
 // Panel returns the present panel.
 func (s *State) Panel() Panel {
 	p := s.panel
--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -32,6 +32,13 @@
 	if n.control.logDown || !n.control.atHead || n.stopping {
 		return
 	}
+	if now >= n.control.callPanel {
+		n.control.callPanel = now + assignCheckInterval
+		n.callPanel()
+		if n.removed() {
+			return // it shows by the next time whether the panel is in reach
+		}
+	}
 	settled := !n.control.assignDirty && len(n.control.unreachable) == 0
 	if settled && now < n.control.assignCheck {
 		return
@@ -40,9 +47,15 @@
 	n.control.assignCheck = now + assignCheckInterval
 	if !n.joined() {
 		n.control.assignDirty = true
+		if !n.mayJoin() {
+			return
+		}
 		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
 		return
 	}
+	if !n.reachesPanel() {
+		return
+	}
 	n.removeDead(now)
 	n.assignPanel(now)
 	n.assignShares(now)
@@ -117,6 +130,25 @@
 	}
 }
 
+// reachesPanel reports whether a majority of the panel, if there is one, is not
+// known to be out of reach. A node that is cut off from all others, but not from
+// the log, would remove the whole mesh and make a panel of its own.
+func (n *Node) reachesPanel() bool {
+	return n.state.Panel().Epoch == 0 || n.evidence.Majority(func(node mesh.NodeID) bool { return !n.isUnreachable(node) })
+}
+
+// mayJoin reports whether a join makes sense. A node that was removed waits until
+// it reaches the others again; it would only be removed once more.
+func (n *Node) mayJoin() bool {
+	return !n.removed() || n.state.MayJoin(n.cfg.Self.Node) && n.reachesPanel()
+}
+
+// removed reports whether the log says that this node has left.
+func (n *Node) removed() bool {
+	_, gone := n.state.Departed(n.cfg.Self.Node)
+	return gone
+}
+
 // removeDead records the departure of nodes that have been unreachable for
 // long. A node that is alive after all joins again when it reads this.
 func (n *Node) removeDead(now time.Duration) {
@@ -125,8 +157,8 @@
 			delete(n.control.unreachable, node)
 			continue
 		}
-		overdue := now-n.control.unreachable[node] >= unreachableAfter
-		if !overdue || !n.assigns("remove "+string(node.Host)) {
+		overdue := now-n.control.unreachable[node] >= n.removeAfter(node)
+		if !overdue {
 			continue
 		}
 		n.proposeOnce(now, "remove "+node.String(), func(h config.Header) ([]byte, error) {
@@ -135,6 +167,34 @@
 	}
 }
 
+// removeAfter returns how long a node must be out of reach before this node
+// removes it. The node that ranks first may not have tried to reach it, so the
+// others follow at different times.
+func (n *Node) removeAfter(node mesh.NodeID) time.Duration {
+	task := "remove " + string(node.Host)
+	if n.assigns(task) {
+		return unreachableAfter
+	}
+	return unreachableAfter + time.Duration(mesh.RendezvousScore(task, n.cfg.Self.Node)%uint64(unreachableAfter))
+}
+
+// callPanel asks the members of the panel for a sign of life, before a node is
+// removed and regularly by the node that assigns the panel. While the log is up
+// nothing else may be sent to them, and a panel of dead nodes would be found out
+// only in the next outage of the log.
+func (n *Node) callPanel() {
+	if n.removed() {
+		clear(n.control.unreachable) // nobody answers a removed node
+	} else if !n.assigns("panel") && len(n.control.unreachable) == 0 {
+		return
+	}
+	for _, node := range n.state.Panel().Members {
+		if node != n.cfg.Self.Node {
+			n.post(node, StatusRequest{})
+		}
+	}
+}
+
 // isMember reports whether the log lists a node.
 func (n *Node) isMember(node mesh.NodeID) bool {
 	m, ok := n.state.Member(node.Host)
--- a/internal/engine/serve.go
+++ b/internal/engine/serve.go
@@ -191,6 +191,7 @@
 )
 
 func (n *Node) peerAnswered(now time.Duration, c *call, ev *Answered) {
+	delete(n.control.unreachable, c.target)
 	if ev.Load != nil {
 		c.budget().Return(min(ev.Load.Returned, c.lent))
 		c.lent = 0
@@ -296,6 +297,9 @@
 		// An earlier call with this ticket may have run at its owner.
 		r = n.refusal(outcome.MayHaveRun, outcome.TicketOwnerGone, 0)
 	}
+	if c.phase == waitsForPeer && ev.Reason == outcome.ConnectFailed {
+		n.peerUnreachable(now, c.target)
+	}
 	switch c.phase {
 	case waitsForUpstream:
 		n.runOver(now, c, admission.Failed)
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -101,8 +101,10 @@
 // the first time can replace another: a list that is older than what peers said
 // since must not undo it each time it is folded.
 func (d *Directory) foldJoin(m *mesh.Member) {
-	if _, departed := d.left[m.Node]; departed {
+	if successor, departed := d.left[m.Node]; departed && !successor.IsZero() {
 		return
+	} else if departed {
+		d.returned(m.Node) // others had removed it while they did not reach it
 	}
 	index, known := d.hosts[m.Node.Host]
 	if !known {
@@ -221,6 +223,12 @@
 	return true
 }
 
+// returned forgets a departure.
+func (d *Directory) returned(node mesh.NodeID) {
+	delete(d.left, node)
+	d.leftAge = slices.DeleteFunc(d.leftAge, func(n mesh.NodeID) bool { return n == node })
+}
+
 // Service returns the members of a service, sorted by host. The slice is shared
 // and must not be changed.
 func (d *Directory) Service(s mesh.Service) []mesh.Member {
