--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -32,6 +32,13 @@
 	if n.control.logDown || !n.control.atHead || n.stopping {
 		return
 	}
+	if now >= n.control.callPanel {
+		n.control.callPanel = now + assignCheckInterval
+		n.callPanel()
+		if n.removed() {
+			return // it shows by the next time whether the panel is in reach
+		}
+	}
 	settled := !n.control.assignDirty && len(n.control.unreachable) == 0
 	if settled && now < n.control.assignCheck {
 		return
@@ -40,7 +47,7 @@
 	n.control.assignCheck = now + assignCheckInterval
 	if !n.joined() {
 		n.control.assignDirty = true
-		if now < n.control.rejoinAt {
+		if !n.mayJoin() {
 			return
 		}
 		n.proposeOnce(now, "join", func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, n.cfg.Self) })
@@ -132,6 +139,25 @@
 	}
 }
 
+// reachesPanel reports whether a majority of the panel, if there is one, is not
+// known to be out of reach. A node that is cut off from all others, but not from
+// the log, would remove the whole mesh and make a panel of its own.
+func (n *Node) reachesPanel() bool {
+	return n.state.Panel().Epoch == 0 || n.evidence.Majority(func(node mesh.NodeID) bool { return !n.isUnreachable(node) })
+}
+
+// mayJoin reports whether a join makes sense. A node that was removed waits until
+// it reaches the others again; it would only be removed once more.
+func (n *Node) mayJoin() bool {
+	return !n.removed() || n.state.MayJoin(n.cfg.Self.Node) && n.reachesPanel()
+}
+
+// removed reports whether the log says that this node has left.
+func (n *Node) removed() bool {
+	_, gone := n.state.Departed(n.cfg.Self.Node)
+	return gone
+}
+
 // checkUnreachable asks the nodes that could not be reached for a sign of life,
 // and tells the nodes that would remove them.
 func (n *Node) checkUnreachable() {
@@ -189,6 +215,24 @@
 	}
 }
 
+// callPanel asks the members of the panel for a sign of life: the node that
+// assigns the panel does so regularly, and a node that was removed does so before
+// it joins again. While the log is up
+// nothing else may be sent to them, and a panel of dead nodes would be found out
+// only in the next outage of the log.
+func (n *Node) callPanel() {
+	if n.removed() {
+		clear(n.control.unreachable) // nobody answers a removed node
+	} else if !n.assigns("panel") {
+		return
+	}
+	for _, node := range n.state.Panel().Members {
+		if node != n.cfg.Self.Node {
+			n.post(node, StatusRequest{})
+		}
+	}
+}
+
 // isMember reports whether the log lists a node.
 func (n *Node) isMember(node mesh.NodeID) bool {
 	m, ok := n.state.Member(node.Host)
