--- a/cmd/cardamomhatch/main_test.go
+++ b/cmd/cardamomhatch/main_test.go
@@ -3,10 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
 	"crypto/sha256"
+	"crypto/x509"
 	"encoding/hex"
+	"encoding/pem"
 	"fmt"
 	"io"
+	"math/big"
+	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -87,13 +94,14 @@
 
 const meshText = "[mesh]\nname = m\n[service shop]\n[workspace w]\nrate_per_second = 1\nburst = 2\n"
 
-// startNode runs one node by its settings and returns its operator URL.
-func startNode(t *testing.T, dir, token string) string {
+// startNode runs one node by its settings, to which more is added, and returns
+// its operator address.
+func startNode(t *testing.T, dir, token, more string) (address string) {
 	t.Helper()
 	log := httptest.NewServer(logserver.New(logserver.Config{}).Handler())
 	t.Cleanup(log.Close)
 	hash := sha256.Sum256([]byte(token))
-	settings := write(t, dir, "node.ini", fmt.Sprintf(settingsText, log.URL, hex.EncodeToString(hash[:])))
+	settings := write(t, dir, "node.ini", fmt.Sprintf(settingsText, log.URL, hex.EncodeToString(hash[:]))+more)
 	contains(t, command(t, exitDone, "", "check-settings", settings), "host-1")
 	ctx, cancel := context.WithCancel(context.Background())
 	var out lockedBuffer
@@ -107,10 +115,10 @@
 			t.Errorf("run exits with %d after a signal", code)
 		}
 	})
-	address := regexp.MustCompile(`operators at (\S+)\n`)
+	pattern := regexp.MustCompile(`operators at (\S+)\n`)
 	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
-		if found := address.FindStringSubmatch(out.String()); found != nil {
-			return "http://" + found[1]
+		if found := pattern.FindStringSubmatch(out.String()); found != nil {
+			return found[1]
 		}
 		if time.Now().After(end) {
 			t.Fatalf("the node does not serve: %s", out.String())
@@ -122,7 +130,7 @@
 // against exit codes that do not tell a refusal from a mistake in the command.
 func TestOperatorCommands(t *testing.T) {
 	dir := t.TempDir()
-	url := startNode(t, dir, "secret-token")
+	url := "http://" + startNode(t, dir, "secret-token", "")
 	access := []string{"--operator", url, "--token-file", write(t, dir, "token", "secret-token\n")}
 	run := func(want int, in string, args ...string) string {
 		t.Helper()
@@ -190,3 +198,41 @@
 	contains(t, command(t, exitFailed, "", "check-settings", "--json", filepath.Join(dir, "s.ini")), `"valid": false`)
 	command(t, exitFailed, "", "check-settings", filepath.Join(dir, "missing.ini"))
 }
+
+// Guards against a node that ignores its TLS files, and against a client that
+// talks to an operator listener it cannot verify.
+func TestRunWithTLS(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := selfSigned(t, dir)
+	address := startNode(t, dir, "secret-token", fmt.Sprintf("[tls]\ncert = %s\nkey = %s\nca = %s\n", cert, key, cert))
+	t.Setenv(tokenVariable, "secret-token")
+	contains(t, command(t, exitDone, "", "status", "--operator", "https://"+address, "--ca-file", cert), "node host-1/")
+	contains(t, command(t, exitFailed, "", "status", "--operator", "https://"+address), "certificate")
+	contains(t, command(t, exitFailed, "", "status", "--operator", "http://"+address), "answered 400")
+}
+
+// selfSigned writes a certificate that is its own CA, and its key.
+func selfSigned(t *testing.T, dir string) (cert, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		DNSNames: []string{"host-1"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	privateDER, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	block := func(kind string, data []byte) string {
+		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}))
+	}
+	return write(t, dir, "cert.pem", block("CERTIFICATE", der)), write(t, dir, "key.pem", block("PRIVATE KEY", privateDER))
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -153,5 +153,8 @@
 		failure.Error.Status = resp.StatusCode
 		return nil, failure.Error
 	}
+	if resp.StatusCode >= http.StatusBadRequest && !json.Valid(data) {
+		return nil, errors.Errorf("node at %s answered %s", c.URL, resp.Status)
+	}
 	return data, nil
 }
