--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -42,6 +42,7 @@
 	atHead      bool // the log was read to its head in this incarnation
 	kept        []logservice.Record
 	applied     uint64        // offset up to which the slices follow the configuration
+	relayed     bool          // in a large fleet; learns of the log from relays
 	folded      []mesh.Member // members of the log as last passed on
 	mesh        *declaration.Mesh
 	workspaces  int // number of workspaces whose shares were applied
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -207,7 +207,9 @@
 		n.foldMember(now, host)
 	}
 	n.applyMembers(now)
-	n.evidence.SetRelays(relaysOf(n.cfg.Self, n.control.folded))
+	relays := relaysOf(n.cfg.Self, n.control.folded)
+	n.evidence.SetRelays(relays)
+	n.control.relayed = len(n.control.folded) >= readerFleet && !slices.Contains(relays, n.cfg.Self.Node)
 }
 
 func (n *Node) foldAllMembers(now time.Duration) {
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -65,3 +65,16 @@
 	}
 	return best
 }
+
+// readerFleet is the number of members from which only the relays of a data
+// centre read the log, so that the log's work does not grow with the fleet.
+const readerFleet = 64
+
+// ReadsLog reports whether this node reads the log now. In a large fleet the
+// relays of each data centre do and pass records and evidence on. Others read
+// until they have been at the head, while a record of theirs is not decided, and
+// while their evidence has lapsed, since they may be cut off from the relays.
+func (n *Node) ReadsLog() bool {
+	lapsed := n.lastNow >= n.control.freshUntil
+	return !n.control.relayed || !n.control.atHead || lapsed || len(n.control.proposals) > 0
+}
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"cardamomhatch/internal/mesh"
 )
@@ -52,3 +53,38 @@
 	}
 	return false
 }
+
+// Guards against a fleet in which every node reads the log, or one in which a
+// node that is cut off from its relays does not.
+func TestReadersOfALargeFleet(t *testing.T) {
+	f := fleet{nodes: 100, services: 2}
+	for i := range f.nodes {
+		m := f.member(i)
+		m.DataCentre = "dc"
+		f.members = append(f.members, m)
+	}
+	readers := 0
+	for _, m := range f.members {
+		n := New(Config{Self: m})
+		n.control.folded = f.members
+		if !n.ReadsLog() {
+			t.Fatalf("%s does not read before it has been at the head", m.Node)
+		}
+		n.foldMembers(0, changes{})
+		n.control.atHead, n.control.freshUntil = true, time.Second
+		if n.ReadsLog() {
+			readers++
+		}
+		if n.lastNow = 2 * time.Second; !n.ReadsLog() {
+			t.Fatalf("%s does not read although its evidence has lapsed", m.Node)
+		}
+		n.control.folded = f.members[:readerFleet-1]
+		n.foldMembers(0, changes{})
+		if n.lastNow = 0; !n.ReadsLog() {
+			t.Fatalf("%s does not read in a small fleet", m.Node)
+		}
+	}
+	if readers != relayCount {
+		t.Errorf("%d of %d nodes read the log, want %d", readers, f.nodes, relayCount)
+	}
+}
