--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -19,11 +19,14 @@
 	configStream    = "config"
 	snapshotsStream = "snapshots"
 	readMax         = 1000 // records per read
-	readWait        = time.Second
-	readTimeout     = readWait + 4*time.Second // a slow log still answers
-	appendTimeout   = 5 * time.Second
-	appendQueue     = 256
-	logBackoffMax   = 2 * time.Second
+	// readWait is well below evidence.FreshFor: what a read proves is dated from
+	// its start and must last until the answer to the next one.
+	readWait      = 500 * time.Millisecond
+	readSkip      = 100 * time.Millisecond   // between two questions whether to read
+	readTimeout   = readWait + 4*time.Second // a slow log still answers
+	appendTimeout = 5 * time.Second
+	appendQueue   = 256
+	logBackoffMax = 2 * time.Second
 )
 
 // errAppendQueueFull means that the record did not leave this node.
@@ -101,6 +104,12 @@
 	backoff := n.jitter(1)
 	var next uint64
 	for {
+		if !n.readsLog() {
+			if !n.pause(readSkip) {
+				return
+			}
+			continue
+		}
 		next = n.nextOffset(next)
 		asked := n.now()
 		ctx, cancel := n.untilClosed(readTimeout)
@@ -130,6 +139,16 @@
 	}
 }
 
+func (n *Node) readsLog() bool {
+	r, ok := n.cfg.Machine.(Reader)
+	if !ok {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return r.ReadsLog()
+}
+
 func truncatedAt(err error) (first uint64, truncated bool) {
 	var t *logservice.ErrTruncated
 	if !errors.As(err, &t) {
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/evidence"
 	"cardamomhatch/internal/logservice"
 )
 
@@ -62,13 +63,65 @@
 	return n, m
 }
 
+// Guards against evidence from the log alone that lapses between two reads of a
+// log that is slow but up.
+func TestLogReadsKeepEvidenceFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, m := loopNode(&scriptedLog{head: 0, delay: 400 * time.Millisecond})
+		time.Sleep(20 * time.Second)
+		n.Close()
+		var reads []*engine.LogRead
+		for _, ev := range m.events {
+			if read, ok := ev.(*engine.LogRead); ok {
+				reads = append(reads, read)
+			}
+		}
+		for i := 2; i < len(reads); i++ {
+			// A read ends when the next one is asked.
+			if age := reads[i].AskedAt - reads[i-2].AskedAt; age > evidence.FreshFor*2/3 {
+				t.Errorf("evidence of read %d is %s old when the next is there", i-2, age)
+			}
+		}
+		if len(reads) < 20 {
+			t.Errorf("%d reads in 20 s", len(reads))
+		}
+	})
+}
+
+// lazyMachine wants the log read only when told.
+type lazyMachine struct {
+	*fakeMachine
+	reads bool
+}
+
+func (m *lazyMachine) ReadsLog() bool { return m.reads }
+
+// Guards against a node of a large fleet that reads the log although its relays
+// do, and against one that does not read when it has to.
+func TestLogReaderSkips(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &scriptedLog{}
+		m := &lazyMachine{fakeMachine: &fakeMachine{}}
+		n := must(New(Config{Machine: m, Plain: true, Log: log}))
+		n.Start()
+		defer n.Close()
+		time.Sleep(5 * time.Second)
+		skipped := len(log.reads)
+		n.Do(func() { m.reads = true })
+		time.Sleep(time.Second)
+		if skipped != 0 || len(log.reads) == 0 {
+			t.Errorf("%d reads while not wanted, then %d within 1 s", skipped, len(log.reads))
+		}
+	})
+}
+
 // Guards against reads that skip or repeat records, are dated after they were
 // asked, hammer a log that is down, or never recover from dropped records.
 func TestLogReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &scriptedLog{first: 5, head: 7, failures: 3, delay: 10 * time.Millisecond}
 		n, m := loopNode(log)
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
 		n.Close()
 		want := []uint64{0, 0, 0, 0, 5, 6, 7, 7}
 		if len(log.reads) < len(want) || len(log.reads) > len(want)+2 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,7 @@
 // out. The shell calls it under one mutex. Every call that arrived must get one
 // of Refuse, Relay, Replay, IssueTicket and Cancel as its last effect, also when
 // its caller has gone: until then its handler waits. A Machine may also
-// implement Offsets.
+// implement Offsets and Reader.
 type Machine interface {
 	Step(now time.Duration, ev engine.Event, out []engine.Effect) []engine.Effect
 }
@@ -35,6 +35,9 @@
 // it has read.
 type Offsets interface{ LogOffset() uint64 }
 
+// Reader is implemented by a Machine that does not always want the log read.
+type Reader interface{ ReadsLog() bool }
+
 // Logger is the part of charmbracelet/log's Logger that the shell uses. No line
 // contains a key.
 type Logger interface {
