--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -39,6 +39,7 @@
 			return // it shows by the next time whether the panel is in reach
 		}
 	}
+	n.writeSnapshot(now)
 	settled := !n.control.assignDirty && len(n.control.unreachable) == 0
 	if settled && now < n.control.assignCheck {
 		return
--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -29,33 +29,36 @@
 	nodes  map[mesh.NodeID]*testNode
 	order  []*testNode
 
-	declared   *declaration.Mesh
-	log        [][]byte
-	logFirst   uint64 // first record that the log has kept
-	snapshots  [][]byte
-	logDown    bool
-	logCut     func(mesh.Host) bool // hosts that do not reach the log
-	loseAck    float64              // share of appends that take effect without an answer
-	lossy      float64
-	doubled    float64       // share of control messages that arrive twice
-	jitter     time.Duration // greatest extra delay of control messages; reorders them
-	cut        func(from, to mesh.Host) bool
-	service    time.Duration
-	logPoll    time.Duration // between two reads of the log by a node
-	secrets    map[mesh.Workspace]string
-	ends       map[callName]end // by the node and call of a customer
-	runs       map[mesh.ActionID]int
-	decided    map[string]*Decision // by token
-	nextCall   mesh.CallID
-	fail       func(n *testNode, e Effect) int // status of a run; 0 means 200
-	sent       func(mesh.Envelope)             // observes control messages
-	upstream   func(n *testNode, e Effect)     // replaces the plain upstream
-	linked     func(from, to mesh.CallID)      // observes forwarded calls
-	stepped    func(n *testNode, ev Event)     // observes steps
-	effect     func(n *testNode, e Effect)     // observes effects before they are executed
-	status     map[mesh.CallID]int             // of the last answer of a call
-	loseAnswer func() bool                     // an answer between nodes is lost after the run
-	cutBody    func() bool                     // an answer to a customer breaks off
+	declared  *declaration.Mesh
+	log       [][]byte
+	logFirst  uint64 // first record that the log has kept
+	snapshots [][]byte
+	logDown   bool
+	// snapshotEvery is Config.SnapshotEvery of nodes that start from now on.
+	snapshotEvery uint64
+	noSnapshots   bool                 // the log takes no snapshots
+	logCut        func(mesh.Host) bool // hosts that do not reach the log
+	loseAck       float64              // share of appends that take effect without an answer
+	lossy         float64
+	doubled       float64       // share of control messages that arrive twice
+	jitter        time.Duration // greatest extra delay of control messages; reorders them
+	cut           func(from, to mesh.Host) bool
+	service       time.Duration
+	logPoll       time.Duration // between two reads of the log by a node
+	secrets       map[mesh.Workspace]string
+	ends          map[callName]end // by the node and call of a customer
+	runs          map[mesh.ActionID]int
+	decided       map[string]*Decision // by token
+	nextCall      mesh.CallID
+	fail          func(n *testNode, e Effect) int // status of a run; 0 means 200
+	sent          func(mesh.Envelope)             // observes control messages
+	upstream      func(n *testNode, e Effect)     // replaces the plain upstream
+	linked        func(from, to mesh.CallID)      // observes forwarded calls
+	stepped       func(n *testNode, ev Event)     // observes steps
+	effect        func(n *testNode, e Effect)     // observes effects before they are executed
+	status        map[mesh.CallID]int             // of the last answer of a call
+	loseAnswer    func() bool                     // an answer between nodes is lost after the run
+	cutBody       func() bool                     // an answer to a customer breaks off
 }
 
 type callName struct {
@@ -209,7 +212,8 @@
 	}
 	n := &testNode{member: member, start: c.now, callers: map[mesh.CallID]hopSource{},
 		hops: map[attemptName]hopTarget{}}
-	cfg := Config{Self: member, Seeds: seeds, WallAtZero: int64(c.now) + 1e18}
+	cfg := Config{Self: member, Seeds: seeds, WallAtZero: int64(c.now) + 1e18,
+		SnapshotEvery: c.snapshotEvery}
 	for i := range cfg.Seed {
 		cfg.Seed[i] = byte(c.random.Uint32())
 	}
@@ -409,7 +413,7 @@
 }
 
 func (c *cluster) appendFor(n *testNode, e Effect) {
-	if !c.logReachable(n) {
+	if !c.logReachable(n) || c.noSnapshots && e.Kind == AppendSnapshot {
 		c.at(networkDelay, func() { c.step(n, &AppendEnded{Token: e.AppendID, Err: logservice.ErrUnavailable}) })
 		return
 	}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -46,6 +46,7 @@
 	fetchTurn   int  // member that was asked last
 	assignDirty bool // the assignments may need a change
 	assignCheck time.Duration
+	snapshots   snapshots
 	callPanel   time.Duration // when the panel is asked for a sign of life again
 	proposals   map[string]*proposal
 	tasks       map[string]string // token of the proposal of an assignment task
--- a/internal/engine/faults_test.go
+++ b/internal/engine/faults_test.go
@@ -89,6 +89,7 @@
 	f := &faultRun{recorder: observe(c), random: rand.New(rand.NewPCG(seed, 1))}
 	c.upstream = f.upstream
 	c.logPoll = 50 * time.Millisecond
+	c.snapshotEvery = 4
 	c.loseAnswer = func() bool { return f.chance(0.03) }
 	c.cutBody = func() bool { return f.chance(0.03) }
 	return f
--- a/internal/engine/node.go
+++ b/internal/engine/node.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,9 @@
 	Policy     admission.Policy // the experiments' baselines, or full
 	Allowance  int              // retries of one customer action; DefaultAllowance if zero
 	RingSize   int              // timeline events kept; DefaultRingSize if zero
+
+	SnapshotEvery    uint64        // records between snapshots; DefaultSnapshotEvery if zero
+	SnapshotInterval time.Duration // between snapshots if there are fewer; DefaultSnapshotInterval if zero
 }
 
 // Defaults of Config.
@@ -75,6 +79,8 @@
 	if cfg.RingSize == 0 {
 		cfg.RingSize = DefaultRingSize
 	}
+	cfg.SnapshotEvery = cmp.Or(cfg.SnapshotEvery, DefaultSnapshotEvery)
+	cfg.SnapshotInterval = cmp.Or(cfg.SnapshotInterval, DefaultSnapshotInterval)
 	random := rand.New(rand.NewChaCha8(cfg.Seed))
 	var macKey [32]byte
 	for i := range macKey {
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -65,6 +65,10 @@
 }
 
 func (n *Node) appendEnded(now time.Duration, ev *AppendEnded) {
+	if ev.Token == n.control.snapshots.token {
+		n.snapshotEnded(now, ev)
+		return
+	}
 	p := n.control.proposals[ev.Token]
 	if p == nil || ev.Err == nil {
 		return
--- /dev/null
+++ b/internal/engine/snapshot_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+// truncatedCluster has a log that has dropped what a snapshot covers.
+func truncatedCluster(t *testing.T, seed uint64) *cluster {
+	c := newCluster(t, seed, testMesh)
+	c.snapshotEvery = 4
+	for i, s := range []mesh.Service{"shop", "shop", "shop", "stock", "stock"} {
+		c.start(mesh.Host("host-"+string(rune('0'+i))), s)
+	}
+	c.run(10 * time.Second)
+	c.truncate()
+	if c.logFirst == 0 {
+		t.Fatal("no node has written a snapshot")
+	}
+	return c
+}
+
+// Guards against a log that grows without a snapshot, and against a node that
+// cannot start once the log has dropped old records.
+func TestStartAfterTruncation(t *testing.T) {
+	c := truncatedCluster(t, 80)
+	if len(c.snapshots) > len(c.log)/2 {
+		t.Errorf("%d snapshots for %d records", len(c.snapshots), len(c.log))
+	}
+	n := c.start("host-9", "shop")
+	c.run(5 * time.Second)
+	if !n.Serving(6) || n.State().Digest() != c.order[0].State().Digest() {
+		t.Fatalf("the new node is at offset %d of %d", n.State().Offset(), len(c.log))
+	}
+	if got := c.call1(n, "anna", "GET", "/items/1", ""); !got.whole {
+		t.Fatalf("entry at the new node: %v", got.refusal)
+	}
+}
+
+// Guards against a node that stays outside although its peers have what the log
+// and its snapshot lack, and against one that serves with a gap in its knowledge.
+func TestStartAfterTruncationWithoutSnapshot(t *testing.T) {
+	for _, peers := range []bool{true, false} {
+		c := truncatedCluster(t, 81)
+		c.snapshots = nil
+		if !peers {
+			c.cut = func(a, b mesh.Host) bool { return a == "host-9" || b == "host-9" }
+		}
+		n := c.start("host-9", "shop")
+		c.run(5 * time.Second)
+		got := c.call1(n, "anna", "GET", "/items/1", "")
+		if peers && !got.whole {
+			t.Errorf("with peers: %v", got.refusal)
+		}
+		if !peers && got.refusal.Reason != outcome.NoConfiguration {
+			t.Errorf("without peers: %+v", got)
+		}
+	}
+}
+
+// Guards against a snapshot whose append failed and that is not written again
+// until there are enough new records.
+func TestSnapshotIsRepeated(t *testing.T) {
+	c := newCluster(t, 82, testMesh)
+	c.snapshotEvery = 4
+	c.noSnapshots = true
+	c.start("host-0", "shop")
+	c.run(10 * time.Second)
+	if len(c.log) < 4 {
+		t.Fatalf("%d records are too few for a snapshot", len(c.log))
+	}
+	c.noSnapshots = false
+	c.run(2 * snapshotRetry)
+	if len(c.snapshots) == 0 {
+		t.Fatal("no snapshot was written")
+	}
+}
