--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -343,25 +343,23 @@
 	}
 	for i := range holders {
 		if holders[i] == (mesh.NodeID{}) {
-			holders[i] = firstUnused(n.afterStop(current, i, members), used)
+			holders[i] = n.nextHolder(current, i, members, used)
 			used[holders[i]] = true
 		}
 	}
 	return holders
 }
 
-// afterStop puts the successor of a holder that stopped as planned in front: the
-// holder has released its shares to that node, which need not wait.
-func (n *Node) afterStop(current []config.Share, index int, ranked []mesh.Member) []mesh.Member {
-	if index >= len(current) {
-		return ranked
-	}
-	successor, _ := n.state.Departed(current[index].Holder)
-	i := slices.IndexFunc(ranked, func(m mesh.Member) bool { return m.Node == successor })
-	if i < 0 {
-		return ranked
+// nextHolder returns the successor of a holder that stopped as planned, which has
+// got its shares and need not wait, or the best ranked member without a share.
+func (n *Node) nextHolder(current []config.Share, index int, ranked []mesh.Member, used map[mesh.NodeID]bool) mesh.NodeID {
+	if index < len(current) {
+		successor, _ := n.state.Departed(current[index].Holder)
+		if slices.ContainsFunc(ranked, func(m mesh.Member) bool { return m.Node == successor }) {
+			return successor
+		}
 	}
-	return slices.Insert(slices.Delete(slices.Clone(ranked), i, i+1), 0, ranked[i])
+	return firstUnused(ranked, used)
 }
 
 // firstUnused returns the best ranked member without a share, or the best
