--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -123,7 +123,11 @@
 // callerTimeout reads the caller's own limit. Zero means none.
 func callerTimeout(h http.Header) time.Duration {
 	const limit = uint64(time.Hour / time.Millisecond)
-	ms, err := strconv.ParseUint(h.Get(engine.TimeoutHeader), 10, 63)
+	value := h.Get(engine.TimeoutHeader)
+	if value == "" {
+		return 0 // without the error value that parsing would allocate
+	}
+	ms, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
 		return 0
 	}
