--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -61,11 +61,14 @@
 	transport *http.Transport
 	secure    bool
 	mu        sync.RWMutex
-	addresses map[string]string
+	addresses map[string]string // by authority
+	last      map[mesh.Host]peerName
 }
 
 func newForwarder(config *tls.Config) *forwarder {
-	f := &forwarder{addresses: map[string]string{}, secure: config != nil}
+	f := &forwarder{
+		addresses: map[string]string{}, last: map[mesh.Host]peerName{}, secure: config != nil,
+	}
 	f.transport = newTransport()
 	f.transport.MaxIdleConnsPerHost = peerIdlePerHost
 	f.transport.ExpectContinueTimeout = peerContinueTimeout
@@ -87,25 +90,31 @@
 // address returns the scheme and authority under which the transport reaches
 // the member. The authority is the host's name with the port of its address.
 func (f *forwarder) address(m mesh.Member) (scheme, authority string) {
-	_, port, err := net.SplitHostPort(m.PeerAddress)
-	if err != nil {
-		port = "0" // dialling fails and names the address
+	scheme = "http"
+	if f.secure {
+		scheme = "https"
 	}
-	authority = net.JoinHostPort(string(m.Node.Host), port)
 	f.mu.RLock()
-	known := f.addresses[authority] == m.PeerAddress
+	last := f.last[m.Node.Host]
 	f.mu.RUnlock()
-	if !known {
-		f.mu.Lock()
-		f.addresses[authority] = m.PeerAddress
-		f.mu.Unlock()
+	if last.address == m.PeerAddress {
+		return scheme, last.authority
 	}
-	if f.secure {
-		return "https", authority
+	_, port, err := net.SplitHostPort(m.PeerAddress)
+	if err != nil {
+		port = "0" // dialling fails and names the address
 	}
-	return "http", authority
+	authority = net.JoinHostPort(string(m.Node.Host), port)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addresses[authority] = m.PeerAddress
+	f.last[m.Node.Host] = peerName{m.PeerAddress, authority}
+	return scheme, authority
 }
 
+// peerName is a peer's address and the authority that stands for it.
+type peerName struct{ address, authority string }
+
 // trackedConn counts the bytes that were about to be written, so that a failed
 // attempt can be shown to have sent nothing.
 type trackedConn struct {
