--- /dev/null
+++ b/internal/engine/replay_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cardamomhatch/internal/timeline"
+)
+
+var record = flag.Bool("record", false, "record the timelines under testdata again")
+
+const recordedRun = "testdata/faulty-run.jsonl"
+
+// recordRun drives a mesh through the withdrawal of a key, an outage of the log,
+// the silence of an upstream, a planned stop and the death of a node.
+func recordRun(t *testing.T) []timeline.Event {
+	c, r := observedCluster(t, 100)
+	r.events = nil
+	for _, n := range c.living() {
+		r.callEvery(500*time.Millisecond, n, "anna")
+		r.callEvery(150*time.Millisecond, n, "bjorn")
+	}
+	c.at(1*time.Second, func() { c.logDown = true })
+	c.at(2*time.Second, func() { c.step(c.order[1], &KeyWithdrawn{ID: keyID(c.secrets["anna"])}) })
+	c.at(6*time.Second, func() { c.logDown = false })
+	c.at(7*time.Second, func() { c.order[2].silent = true })
+	c.at(12*time.Second, func() { c.stop(c.order[1]) })
+	c.at(14*time.Second, func() { c.kill(c.order[4]) })
+	c.run(16 * time.Second)
+	return r.events
+}
+
+// Guards against outcomes of a recorded faulty run that differ from the ones
+// stated in testdata/replay, and against rules that no longer hold for a new run
+// with the same seed.
+func TestRecordedRun(t *testing.T) {
+	fresh := recordRun(t)
+	if *record {
+		writeRun(t, fresh)
+	}
+	file, err := os.Open(recordedRun)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	recorded, err := timeline.ReadJSON(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs := map[string][]timeline.Event{"recorded": recorded, "fresh": fresh}
+	datadriven.RunTest(t, "testdata/replay", func(t *testing.T, d *datadriven.TestData) string {
+		rules, err := timeline.ParseRules(strings.NewReader(d.Input))
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		violations := timeline.Replay(runs[d.CmdArgs[0].Key], rules)
+		if len(violations) == 0 {
+			return "kept"
+		}
+		return "violated"
+	})
+}
+
+func writeRun(t *testing.T, events []timeline.Event) {
+	file, err := os.Create(recordedRun)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := timeline.WriteJSON(file, timeline.Merge(events)); err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
