--- a/internal/engine/directed_test.go
+++ b/internal/engine/directed_test.go
@@ -236,3 +236,23 @@
 		t.Fatalf("%d members and a panel of %d are left of 5", len(s.Members()), len(s.Panel().Members))
 	}
 }
+
+// Guards against a withdrawal that counts as accepted because the log carries it,
+// while a panel majority that the log does not reach goes on with the key.
+func TestWithdrawalIsAcceptedByAMajority(t *testing.T) {
+	c, r := observedCluster(t, 72)
+	const alone = "host-1"
+	c.cut = func(a, b mesh.Host) bool { return (a == alone) != (b == alone) }
+	c.logCut = func(h mesh.Host) bool { return h != alone }
+	c.run(5 * time.Second)
+	for _, n := range c.living() {
+		r.callEvery(50*time.Millisecond, n, "anna")
+	}
+	c.step(c.order[1], &KeyWithdrawn{ID: keyID(c.secrets["anna"])})
+	c.run(8 * time.Second)
+	if at, accepted := r.withdrawn[keyID(c.secrets["anna"])]; accepted {
+		t.Errorf("the withdrawal was accepted at %v without a majority", at)
+	}
+	r.checkKeys()
+	r.report(t)
+}
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -145,7 +145,8 @@
 // withdrawal is a withdrawal of a key that an operator asked this node for.
 type withdrawal struct {
 	deadline time.Duration
-	waiting  bool // the operator has not been answered
+	waiting  bool   // the operator has not been answered
+	folded   uint64 // offset by which the log carried it, 0 if it does not
 }
 
 // withdraw stops a key at once, tells the other nodes and writes it to the log.
@@ -173,30 +174,44 @@
 	})
 }
 
-// settleWithdrawals answers operators. A withdrawal is accepted when the log
-// carries it or a majority of the panel holds it.
+// settleWithdrawals answers operators. A withdrawal is accepted when a majority of
+// the panel holds it. The log alone is not enough: a majority that the log does
+// not reach would go on with the key.
 func (n *Node) settleWithdrawals(now time.Duration) {
 	for _, id := range sortedKeyIDs(n.control.withdrawals) {
 		w := n.control.withdrawals[id]
 		pending := n.isPending(id)
 		unconfirmed := n.keys.Unconfirmed(id, n.others())
-		done := len(unconfirmed) == 0 || now >= w.deadline
+		if !pending && w.folded == 0 {
+			w.folded = n.state.Offset()
+			n.evidence.Watch(w.folded - 1)
+		}
+		accepted := n.withdrawalHeld(id, w, pending)
+		done := accepted && len(unconfirmed) == 0 || now >= w.deadline
 		if w.waiting && done {
 			w.waiting = false
-			n.answerWithdrawal(id, !pending || n.heldByMajority(id), unconfirmed)
+			n.answerWithdrawal(id, accepted, unconfirmed)
 		}
-		if !pending {
+		if !pending && !w.waiting {
+			n.evidence.Unwatch(w.folded - 1)
 			delete(n.control.withdrawals, id)
 		}
 	}
 	n.retryWithdrawals(now)
 }
 
+func (n *Node) withdrawalHeld(id keys.ID, w *withdrawal, pending bool) bool {
+	if pending {
+		return n.heldByMajority(id)
+	}
+	return n.state.Panel().Epoch == 0 || n.evidence.Acknowledged(w.folded-1)
+}
+
 func (n *Node) answerWithdrawal(id keys.ID, accepted bool, unconfirmed []mesh.NodeID) {
 	d := &Decision{Accepted: accepted, Unconfirmed: unconfirmed}
 	if !accepted {
 		d.Undecided = true
-		d.Reason = "neither the log nor a majority of the panel holds the withdrawal yet; it stays pending"
+		d.Reason = "no majority of the panel holds the withdrawal yet; it stays in force where it is known"
 	}
 	n.emit(Effect{Kind: Decided, AppendID: string(id), Decision: d})
 }
--- a/internal/evidence/dates.go
+++ b/internal/evidence/dates.go
@@ -103,6 +103,13 @@
 	return w.reached != never && now > w.reached+FreshFor+drift(FreshFor)
 }
 
+// Acknowledged reports whether a majority has acknowledged the record at a watched
+// offset.
+func (t *Tracker) Acknowledged(offset uint64) bool {
+	w := t.watches[offset]
+	return w != nil && w.reached != never
+}
+
 func (t *Tracker) acknowledge(now time.Duration, host mesh.Host, folded uint64) {
 	for offset, w := range t.watches {
 		if folded > offset {
