--- a/internal/engine/snapshot_test.go
+++ b/internal/engine/snapshot_test.go
@@ -78,3 +78,18 @@
 		t.Fatal("no snapshot was written")
 	}
 }
+
+// Guards against a configuration that goes back to an old snapshot, from the log
+// or from a peer.
+func TestOldSnapshotIsIgnored(t *testing.T) {
+	c := truncatedCluster(t, 83)
+	n := c.order[0]
+	offset, digest := n.State().Offset(), n.State().Digest()
+	old := c.snapshots[0]
+	c.step(n, &SnapshotRead{Data: old})
+	c.step(n, &PeerReceived{Envelope: mesh.Envelope{From: c.order[1].member.Node, To: n.member.Node,
+		Message: RecordsReply{Snapshot: old}}})
+	if n.State().Offset() != offset || n.State().Digest() != digest {
+		t.Fatalf("offset %d became %d", offset, n.State().Offset())
+	}
+}
