--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -38,7 +38,7 @@
 type Refusals struct {
 	Rate  float64 `json:"rate"`
 	Load  float64 `json:"load"`
-	Other float64 `json:"other"`
+	Other float64 `json:"other"` // failed, cut off, or refused for another reason
 }
 
 // recoveryBin is the resolution of the recovery time.
@@ -270,6 +270,9 @@
 			continue
 		}
 		all++
+		if e.Kind == load.Failed || e.Kind == load.CutOff {
+			other++
+		}
 		if e.Kind != load.Refused {
 			continue
 		}
--- a/internal/experiment/figures_test.go
+++ b/internal/experiment/figures_test.go
@@ -182,10 +182,10 @@
 	if misses := s.misses(met); len(misses) != 0 {
 		t.Fatalf("goals that are just met: %v", misses)
 	}
-	missed := &Result{Figures: Figures{RecoverySeconds: 2.1, WrongfulRefusals: Refusals{Rate: 0.002, Load: 0.002}, QuotaExcess: 1},
+	missed := &Result{Figures: Figures{RecoverySeconds: 2.1, WrongfulRefusals: Refusals{Rate: 0.002, Load: 0.002, Other: 0.002}, QuotaExcess: 1},
 		Violations: []Violation{{}}}
-	if misses := s.misses(missed); len(misses) != 8 {
-		t.Fatalf("%d of 8 misses: %v", len(misses), misses)
+	if misses := s.misses(missed); len(misses) != 9 {
+		t.Fatalf("%d of 9 misses: %v", len(misses), misses)
 	}
 }
 
