--- a/internal/engine/measure_test.go
+++ b/internal/engine/measure_test.go
@@ -39,7 +39,7 @@
 
 // Guards against more refusals within the rate than the goals of the design page
 // allow: 0.1 % steady, 1 % over the minute in which a share holder dies or stops.
-// The workspace calls at 70 % of its rate; it has two shares or eight.
+// The workspace calls at 70 % of its rate; it has two, four or eight shares.
 func TestWrongfulRefusals(t *testing.T) {
 	faults := []struct {
 		name  string
@@ -55,7 +55,7 @@
 		}},
 		{"planned-stop", 0.01, func(c *cluster) { c.stop(c.holderOf("anna")) }},
 	}
-	for shares, burst := range map[string]string{"two-shares": "burst = 64", "eight-shares": "burst = 512"} {
+	for shares, burst := range map[string]string{"two-shares": "burst = 32", "four-shares": "burst = 64", "eight-shares": "burst = 512"} {
 		for _, tt := range faults {
 			t.Run(shares+"/"+tt.name, func(t *testing.T) {
 				got := wrongfulThrough(t, strings.Replace(testMesh, "burst = 64", burst, 1), tt.cause)
