--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -12,9 +12,12 @@
 
 // Figures are the measured outcomes of a run.
 type Figures struct {
-	// GoodputRatio is the whole answers in time during the cause over the best
-	// that the slots allow.
+	// GoodputRatio is the whole answers in time that end during the cause over
+	// the best that the slots allow. An answer counts as the part of the fleet's
+	// slots that it needs, so that answering only cheap routes gains nothing.
 	GoodputRatio float64 `json:"goodput_ratio"`
+	// AnswersRatio is the same with each answer counted as one.
+	AnswersRatio float64 `json:"answers_ratio"`
 	// CriticalSuccess is the share of critical calls answered whole and in time
 	// while they alone fit the slots; -1 if they never did.
 	CriticalSuccess float64 `json:"critical_success"`
@@ -100,9 +103,10 @@
 // figures computes the figures of a run.
 func (r *run) figures() Figures {
 	f := Figures{CriticalSuccess: -1}
-	cause := r.tally(r.phases.CauseStart, r.phases.CauseEnd)
+	cause := r.tally(r.phases.CauseStart+r.settling(), r.phases.CauseEnd)
 	served := r.scenario.graphDuring(r.plan).Fill(cause.demands(r))
-	f.GoodputRatio = ratio(cause.whole, sum(served)*cause.seconds)
+	f.GoodputRatio = ratio(sum(cause.value), cause.seconds*weighted(served, r.values()))
+	f.AnswersRatio = ratio(cause.whole, sum(served)*cause.seconds)
 	f.WorstWorkspaceShare, f.WorstWorkspace = r.worstShare(cause, served)
 	if r.criticalFits(cause) {
 		f.CriticalSuccess = r.criticalSuccess()
@@ -116,15 +120,38 @@
 	return f
 }
 
-// tally counts the requests that start in a time.
+// settling is the mean time that a call needs during the cause. Answers of the
+// first calls of the cause cannot come earlier, so it is left out at its start;
+// then what is carried into the counted time balances what is carried out.
+func (r *run) settling() time.Duration {
+	g := r.scenario.graphDuring(r.plan)
+	mean := 0.0
+	for i, route := range r.plan.Routes {
+		mean += r.plan.Mix[i] * float64(g.Hold(route.Service))
+	}
+	return time.Duration(mean)
+}
+
+// values returns the part of all slots that one answer of each route needs for a
+// second, without the cause.
+func (r *run) values() []float64 {
+	values := make([]float64, len(r.plan.Routes))
+	for i, route := range r.plan.Routes {
+		for s, slots := range r.plan.Graph.occupancy(Demand{Service: route.Service, Rate: 1}) {
+			values[i] += slots / float64(r.plan.Graph.Slots[s])
+		}
+	}
+	return values
+}
+
+// tally counts the requests that start in a time and the answers that end in it.
 type tally struct {
-	seconds   float64
-	whole     float64   // in time
-	arrivals  []float64 // by route
-	offered   []float64 // by workspace
-	answered  []float64 // by workspace, whole and in time
-	byClass   [][]float64
-	allArrive float64
+	seconds  float64
+	whole    float64     // in time
+	arrivals []float64   // by route
+	offered  []float64   // by workspace
+	value    []float64   // of the whole answers in time, by workspace
+	byClass  [][]float64 // value of the requests by class and workspace
 }
 
 func (r *run) tally(from, to time.Duration) *tally {
@@ -132,25 +159,25 @@
 		seconds:  (to - from).Seconds(),
 		arrivals: make([]float64, len(r.plan.Routes)),
 		offered:  make([]float64, len(r.plan.Workspaces)),
-		answered: make([]float64, len(r.plan.Workspaces)),
+		value:    make([]float64, len(r.plan.Workspaces)),
 		byClass:  make([][]float64, mesh.NumClasses),
 	}
 	for class := range t.byClass {
 		t.byClass[class] = make([]float64, len(r.plan.Workspaces))
 	}
+	values := r.values()
 	for _, e := range r.log.endings {
 		at := e.Start.Sub(r.began)
+		if end := at + e.Latency; e.InTime && end >= from && end < to {
+			t.whole++
+			t.value[e.Workspace] += values[e.Route]
+		}
 		if at < from || at >= to {
 			continue
 		}
-		t.allArrive++
 		t.arrivals[e.Route]++
 		t.offered[e.Workspace]++
-		t.byClass[r.plan.Routes[e.Route].Class][e.Workspace]++
-		if e.InTime {
-			t.whole++
-			t.answered[e.Workspace]++
-		}
+		t.byClass[r.plan.Routes[e.Route].Class][e.Workspace] += values[e.Route]
 	}
 	r.boundByRate(t)
 	return t
@@ -187,6 +214,7 @@
 // worstShare compares each workspace's answers with its max-min fair share of
 // the best, class by class.
 func (r *run) worstShare(t *tally, served []float64) (float64, string) {
+	values := r.values()
 	fair := make([]float64, len(r.plan.Workspaces))
 	weights := make([]float64, len(fair))
 	for i, w := range r.plan.Workspaces {
@@ -196,7 +224,7 @@
 		total := 0.0
 		for i, rate := range served {
 			if r.plan.Routes[i].Class == mesh.Class(class) {
-				total += rate * t.seconds
+				total += rate * t.seconds * values[i]
 			}
 		}
 		for i, share := range FairShares(total, demands, weights) {
@@ -205,7 +233,7 @@
 	}
 	worst, name := math.Inf(1), ""
 	for i, share := range fair {
-		if got := ratio(t.answered[i], share); got < worst {
+		if got := ratio(t.value[i], share); got < worst {
 			worst, name = got, string(r.plan.Workspaces[i].Name)
 		}
 	}
@@ -337,6 +365,14 @@
 	return a / b
 }
 
+func weighted(values, weights []float64) float64 {
+	total := 0.0
+	for i, v := range values {
+		total += v * weights[i]
+	}
+	return total
+}
+
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
--- a/internal/experiment/figures_test.go
+++ b/internal/experiment/figures_test.go
@@ -112,7 +112,8 @@
 	began := time.Unix(100, 0)
 	r := &run{
 		plan: p, scenario: &Scenario{}, began: began, log: newEvents(), options: Options{Policy: admission.PolicyFull},
-		phases: Phases{Measure: 0, CauseStart: 0, CauseEnd: 10 * time.Second, End: 20 * time.Second},
+		// The settling time, 0.2 s, ends at the first arrival.
+		phases: Phases{CauseStart: -200 * time.Millisecond, CauseEnd: 10 * time.Second, End: 20 * time.Second},
 	}
 	// The leaf serves 200 calls in 10 s. Each workspace asks for 10 critical and
 	// 190 normal ones, and a gets 10 + 135, b 10 + 25 of them.
@@ -134,6 +135,7 @@
 // Guards against figures that follow anything but the recorded ends.
 func TestFigures(t *testing.T) {
 	f := recorded().figures()
+	near(t, "answers", f.AnswersRatio, 180.0/200)
 	near(t, "goodput", f.GoodputRatio, 180.0/200)
 	near(t, "critical success", f.CriticalSuccess, 1)
 	// Of 180 normal calls b is owed a quarter, 45, and 10 critical ones.
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -32,14 +32,14 @@
 `))
 
 type plot struct {
-	Title                 string
-	Width, Height         int
-	Left, LegendX         int
-	PanelWidth            int
-	PanelHeight           int
-	CauseX, CauseWidth    float64
-	Panels                []panel
-	seconds, secondsWidth float64
+	Title              string
+	Width, Height      int
+	Left, LegendX      int
+	PanelWidth         int
+	PanelHeight        int
+	CauseX, CauseWidth float64
+	Panels             []panel
+	seconds            float64
 }
 
 type panel struct {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -170,10 +170,10 @@
 // WriteTable writes one line per run.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "scenario\tpolicy\tgoodput\tcritical\trecovery s\tworst\trefused rate\trefused load\texecutions\texcess\tviolations")
+	fmt.Fprintln(t, "scenario\tpolicy\tgoodput\tanswers\tcritical\trecovery s\tworst\trefused rate\trefused load\texecutions\texcess\tviolations")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%.3f\t%s\t%s\t%.3f\t%.4f\t%.4f\t%.2f of %.2f\t%.1f\t%d\n",
-			r.Scenario, r.Policy, r.GoodputRatio, r.critical(), r.recoveryText(), r.WorstWorkspaceShare,
+		fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%s\t%s\t%.3f\t%.4f\t%.4f\t%.2f of %.2f\t%.1f\t%d\n",
+			r.Scenario, r.Policy, r.GoodputRatio, r.AnswersRatio, r.critical(), r.recoveryText(), r.WorstWorkspaceShare,
 			r.WrongfulRefusals.Rate, r.WrongfulRefusals.Load, r.ExecutionsPerAction, r.DeclaredPerAction,
 			r.QuotaExcess, len(r.Violations))
 	}
--- a/internal/load/observe.go
+++ b/internal/load/observe.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"cardamomhatch/internal/outcome"
@@ -30,7 +31,7 @@
 	Kind     Kind
 	Refusal  outcome.Refusal // if Refused
 	Bytes    int64           // of the body
-	Foreign  bool            // the answer carries the marker of another attempt
+	Foreign  bool            // the answer carries the marker of another request
 }
 
 // Ending is the end of a request after its last attempt.
@@ -61,7 +62,8 @@
 		Kind: end.kind, Refusal: end.refusal, Bytes: end.bytes,
 	}
 	if name := c.runner.cfg.MarkerHeader; name != "" && end.kind == whole {
-		a.Foreign = header.Get(name) != a.Marker
+		// A ticket's stored answer carries the marker of an earlier attempt.
+		a.Foreign = !strings.HasPrefix(header.Get(name), a.Request+".")
 	}
 	observe(a)
 }
