--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -127,3 +127,27 @@
 		t.Fatal("a reachable node was removed")
 	}
 }
+
+// Guards against a time without evidence between the last read of the log and
+// the first answers of the panel.
+func TestNoCallIsRefusedWhenTheLogGoesDown(t *testing.T) {
+	c := testCluster(t, 12)
+	var names []callName
+	for i := range 200 {
+		if i == 40 {
+			c.logDown = true
+		}
+		for _, n := range c.order {
+			if i%5 == 0 {
+				names = append(names, c.call(n, "anna", "GET", "/items/1", ""))
+			}
+		}
+		c.run(50 * time.Millisecond)
+	}
+	c.run(2 * time.Second)
+	for _, name := range names {
+		if got := c.ends[name]; !got.whole {
+			t.Fatalf("call %v: %v", name, got.refusal)
+		}
+	}
+}
