--- a/internal/engine/operate_test.go
+++ b/internal/engine/operate_test.go
@@ -141,3 +141,13 @@
 		t.Fatalf("%d of %d nodes were ever asked", len(seen), len(n.control.folded))
 	}
 }
+
+// Guards against an operator who waits for the outcome of a proposal that the
+// node has dropped because of its token.
+func TestProposalWithAMalformedTokenIsRejected(t *testing.T) {
+	c := testCluster(t, 1)
+	c.step(c.order[0], &Proposed{Token: "no token", Data: []byte("{}")})
+	if d := c.decided["no token"]; d == nil || d.Accepted || d.Reason == "" {
+		t.Fatalf("decision %+v, want a rejection with its reason", d)
+	}
+}
--- a/internal/engine/proposal.go
+++ b/internal/engine/proposal.go
@@ -40,6 +40,7 @@
 func (n *Node) propose(now time.Duration, token string, data []byte, operator bool) {
 	id, err := config.ParseToken(token)
 	if err != nil {
+		n.reject(&proposal{token: token, operator: operator}, err.Error())
 		return
 	}
 	if offset, verdict, found := n.state.Find(id); found {
