--- a/cmd/cardamomhatch/main.go
+++ b/cmd/cardamomhatch/main.go
@@ -28,6 +28,7 @@
 	Replay           replayCommand           `cmd:"" help:"Check a recorded timeline against stated outcomes."`
 	Load             loadCommand             `cmd:"" help:"Generate open-loop load against a mesh."`
 	Experiment       experimentCommand       `cmd:"" help:"Run scenarios of overload and failure on real nodes and judge the figures."`
+	Capacity         capacityCommand         `cmd:"" help:"Measure what a fleet costs one node, at several sizes."`
 	Model            modelCommand            `cmd:"" help:"Measure the policies on a model in virtual time."`
 	CheckSettings    checkSettingsCommand    `cmd:"" help:"Check a settings file."`
 	CheckDeclaration checkDeclarationCommand `cmd:"" help:"Check declaration files."`
--- a/cmd/cardamomhatch/processes_test.go
+++ b/cmd/cardamomhatch/processes_test.go
@@ -81,8 +81,8 @@
 	<-c.exited
 }
 
-// fleet is a mesh of separate processes.
-type fleet struct {
+// processMesh is a mesh of separate processes.
+type processMesh struct {
 	t         *testing.T
 	log       *child
 	nodes     []*child
@@ -94,7 +94,7 @@
 	client    *http.Client
 }
 
-const fleetMesh = `[mesh]
+const processesDeclaration = `[mesh]
 name = processes
 [service shop]
 [route GET /items/{id}]
@@ -113,10 +113,10 @@
 weight = 1
 `
 
-func startFleet(t *testing.T, nodes int) *fleet {
+func startProcesses(t *testing.T, nodes int) *processMesh {
 	t.Helper()
 	dir := t.TempDir()
-	f := &fleet{t: t, client: &http.Client{Timeout: 10 * time.Second}}
+	f := &processMesh{t: t, client: &http.Client{Timeout: 10 * time.Second}}
 	log, address := spawn(t, `log serves at (\S+)`, "log-standin")
 	f.log = log
 	hash := sha256.Sum256([]byte("token"))
@@ -134,7 +134,7 @@
 	token := write(t, dir, "token", "token\n")
 	f.access = []string{"--token-file", token, "--operator"}
 	plan := filepath.Join(dir, "plan.json")
-	f.operate(0, "", "plan", write(t, dir, "mesh.ini", fleetMesh), "--out", plan)
+	f.operate(0, "", "plan", write(t, dir, "mesh.ini", processesDeclaration), "--out", plan)
 	f.operate(0, "", "confirm", plan)
 	issued := f.operate(0, "y\n", "key", "issue", "anna")
 	found := regexp.MustCompile(`(ch_([0-9a-f]+)_\S+)`).FindStringSubmatch(issued)
@@ -149,18 +149,18 @@
 }
 
 // operate runs an operator command at one node.
-func (f *fleet) operate(node int, in string, args ...string) string {
+func (f *processMesh) operate(node int, in string, args ...string) string {
 	f.t.Helper()
 	return command(f.t, exitDone, in, append(append(args, f.access...), f.operators[node])...)
 }
 
 // get calls an idempotent route and returns the status, 0 for no answer.
-func (f *fleet) get(node int) int {
+func (f *processMesh) get(node int) int {
 	status, _ := f.call(node, http.MethodGet, "/items/1")
 	return status
 }
 
-func (f *fleet) call(node int, method, path string) (int, string) {
+func (f *processMesh) call(node int, method, path string) (int, string) {
 	request, err := http.NewRequest(method, f.callers[node]+path, bytes.NewReader(nil))
 	if err != nil {
 		f.t.Fatal(err)
@@ -179,7 +179,7 @@
 }
 
 // await polls a condition that must hold in the end.
-func (f *fleet) await(what string, condition func() bool) {
+func (f *processMesh) await(what string, condition func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(time.Minute); !condition(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -191,7 +191,7 @@
 // Guards against a mesh that works only inside one process, and against callers
 // that notice the loss of another host for longer than a retry hides it.
 func TestKilledHost(t *testing.T) {
-	f := startFleet(t, 4)
+	f := startProcesses(t, 4)
 	f.nodes[0].kill()
 	f.upstreams[0].kill()
 	f.await("ten calls in a row at the nodes that are left", func() bool {
@@ -207,7 +207,7 @@
 // Guards against a frozen node that wakes up and admits a key that was withdrawn
 // while it was frozen.
 func TestFrozenNodeRefusesAWithdrawnKey(t *testing.T) {
-	f := startFleet(t, 4)
+	f := startProcesses(t, 4)
 	f.nodes[3].signal(syscall.SIGSTOP)
 	f.operate(0, "y\n", "key", "withdraw", f.id)
 	time.Sleep(4 * time.Second) // longer than evidence lasts
@@ -225,7 +225,7 @@
 
 // Guards against a mesh that stops with its log.
 func TestKilledLog(t *testing.T) {
-	f := startFleet(t, 4)
+	f := startProcesses(t, 4)
 	f.await("a panel of all nodes is in force", func() bool {
 		status := f.operate(0, "", "status", "--json")
 		return strings.Contains(status, `"settled": true`) && regexp.MustCompile(`"epoch": [1-9]\d*,\s+"settled": true,\s+"members": \[(\s+"host-\d",?){4}`).MatchString(status)
@@ -245,7 +245,7 @@
 // Guards against a planned stop that cuts off a call or answers one with
 // anything but a refusal that says it did not run.
 func TestTerminatedNodeCutsOffNothing(t *testing.T) {
-	f := startFleet(t, 3)
+	f := startProcesses(t, 3)
 	stop := make(chan struct{})
 	ended := make(chan string)
 	go func() {
--- a/internal/engine/capacity_test.go
+++ b/internal/engine/capacity_test.go
@@ -3,139 +3,30 @@
 import (
 	"encoding/gob"
 	"fmt"
-	"maps"
 	"runtime"
 	"testing"
 	"time"
 
 	"cardamomhatch/internal/config"
-	"cardamomhatch/internal/declaration"
-	"cardamomhatch/internal/logservice"
+	"cardamomhatch/internal/fleet"
 	"cardamomhatch/internal/mesh"
 )
 
-// fleet is a synthetic log of a fleet of a given size.
-type fleet struct {
-	nodes, services, workspaces, keys int
-	state                             *config.State
-	log                               [][]byte
-	members                           []mesh.Member
-}
-
-var fleetSizes = []fleet{
-	{nodes: 250, services: 27, workspaces: 20, keys: 100},
-	{nodes: 2_500, services: 270, workspaces: 200, keys: 1_000},
-	{nodes: 25_000, services: 2_700, workspaces: 2_000, keys: 10_000},
-}
-
-func (f *fleet) String() string { return fmt.Sprintf("nodes=%d", f.nodes) }
-
-func (f *fleet) service(i int) mesh.Service { return mesh.Service(fmt.Sprintf("service-%d", i)) }
-
-func (f *fleet) mesh() *declaration.Mesh {
-	m := &declaration.Mesh{
-		Name:       "fleet",
-		Services:   make(map[mesh.Service]declaration.Service),
-		Workspaces: make(map[mesh.Workspace]declaration.Workspace),
-	}
-	for i := range f.services {
-		s := f.service(i)
-		m.Services[s] = declaration.Service{Name: s}
-		m.Routes = append(m.Routes, declaration.Route{Method: "GET", Pattern: "/" + string(s), Service: s,
-			Idempotent: true, Class: mesh.ClassNormal, Timeout: time.Second})
-		if i%15 != 14 && i+1 < f.services { // chains of 15 services
-			m.Edges = append(m.Edges, declaration.Edge{From: s, To: f.service(i + 1), CallsPerParent: 1, Idempotent: true})
-		}
-	}
-	for i := range f.workspaces {
-		ws := mesh.Workspace(fmt.Sprintf("workspace-%d", i))
-		m.Workspaces[ws] = declaration.Workspace{Name: ws, RatePerSecond: 1000, Burst: 1024, Weight: 1}
-	}
-	parsed, err := declaration.Parse(declaration.File{Name: "fleet.ini", Data: declaration.Format(m)})
-	if err != nil {
-		panic(err)
-	}
-	return parsed
-}
-
-func (f *fleet) add(build func(config.Header) ([]byte, error)) {
-	h := config.Header{By: mesh.NodeID{Host: "operator", Incarnation: 1}, After: f.state.Offset()}
-	for i := range 8 {
-		h.Token[i] = byte(len(f.log) >> (8 * i))
-	}
-	h.Token[15] = 1
-	data, err := build(h)
-	if err != nil {
-		panic(err)
-	}
-	if v := f.state.Fold(f.state.Offset(), data); v.Kind != config.Accepted {
-		panic(v.String())
-	}
-	f.log = append(f.log, data)
-}
-
-// build writes the log: declaration, keys, members, panel and shares.
-func (f *fleet) build() {
-	f.state = config.New()
-	plan, err := config.Plan(f.state, f.mesh())
-	if err != nil {
-		panic(err)
-	}
-	f.add(func(h config.Header) ([]byte, error) { return config.NewChange(h, plan) })
-	for i := range f.keys {
-		k := config.Key{ID: fmt.Sprintf("%016x", i), Workspace: mesh.Workspace(fmt.Sprintf("workspace-%d", i%f.workspaces))}
-		k.Hash[0], k.Hash[1], k.Hash[2] = byte(i), byte(i>>8), 1
-		f.add(func(h config.Header) ([]byte, error) { return config.NewKeyIssued(h, k) })
-	}
-	for i := range f.nodes {
-		m := f.member(i)
-		f.members = append(f.members, m)
-		f.add(func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, m) })
-	}
-	var panel []mesh.NodeID
-	for i := range maxPanelLarge {
-		panel = append(panel, f.members[i].Node)
-	}
-	f.add(func(h config.Header) ([]byte, error) { return config.NewPanel(h, 1, panel) })
-	for i := range f.workspaces {
-		var holders []mesh.NodeID
-		for j := range 32 {
-			holders = append(holders, f.members[(i*32+j)%f.nodes].Node)
-		}
-		ws := mesh.Workspace(fmt.Sprintf("workspace-%d", i))
-		f.add(func(h config.Header) ([]byte, error) { return config.NewShares(h, ws, 0, holders) })
-	}
-}
-
-func (f *fleet) member(i int) mesh.Member {
-	host := fmt.Sprintf("host-%05d", i)
-	address := fmt.Sprintf("10.%d.%d.%d", i>>16&255, i>>8&255, i&255)
-	return mesh.Member{
-		Node:       mesh.NodeID{Host: mesh.Host(host), Incarnation: mesh.Incarnation(i + 1)},
-		DataCentre: mesh.DataCentre(fmt.Sprintf("dc-%02d", i%18)), Service: f.service(i % f.services),
-		PeerAddress: address + ":7001", CallerAddress: address + ":7000", OperatorAddress: address + ":7002",
-	}
-}
-
-// node folds the fleet's log into one node, by index of its member.
-func (f *fleet) node(i int) *Node {
-	n := New(Config{Self: f.members[i], WallAtZero: 1e18})
-	page := logservice.Page{Head: uint64(len(f.log))}
-	for offset, data := range f.log {
-		page.Records = append(page.Records, logservice.Record{Offset: uint64(offset), Data: data})
-	}
-	n.Step(time.Millisecond, &LogRead{AskedAt: 0, Page: page}, nil)
+// fold folds a fleet's log into one node, by index of its member.
+func fold(f *fleet.Fleet, i int) *Node {
+	n := New(Config{Self: f.Members[i], WallAtZero: 1e18})
+	n.Step(time.Millisecond, &LogRead{AskedAt: 0, Page: f.Page(0)}, nil)
 	return n
 }
 
 // BenchmarkNodeMemory reports the memory of a node that has folded a fleet.
 func BenchmarkNodeMemory(b *testing.B) {
-	for _, f := range fleetSizes {
+	for _, f := range fleet.Sizes {
 		b.Run(f.String(), func(b *testing.B) {
-			f.build()
+			f.Build()
 			for b.Loop() {
 				before := heapInUse()
-				n := f.node(0)
+				n := fold(&f, 0)
 				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB/node")
 				runtime.KeepAlive(n)
 			}
@@ -154,10 +45,10 @@
 // BenchmarkControlTick reports the time of one second of ticks of an idle node,
 // and the control messages that it sends in that second.
 func BenchmarkControlTick(b *testing.B) {
-	for _, f := range fleetSizes {
+	for _, f := range fleet.Sizes {
 		b.Run(f.String(), func(b *testing.B) {
-			f.build()
-			n := f.node(100)
+			f.Build()
+			n := fold(&f, 100)
 			now := 2 * time.Millisecond
 			sent := 0
 			var out []Effect
@@ -180,50 +71,28 @@
 // BenchmarkChangeInForce reports the time in which a node applies one change of
 // a workspace's rate, a join, or an issued key.
 func BenchmarkChangeInForce(b *testing.B) {
-	for _, f := range fleetSizes {
-		f.build()
-		kinds := map[string]func(i int, h config.Header) ([]byte, error){
-			"join": func(i int, h config.Header) ([]byte, error) {
-				m := f.member(i % f.nodes)
-				m.Node.Incarnation += mesh.Incarnation(1_000_000 + i)
-				return config.NewNodeJoined(h, m)
-			},
-			"key": func(i int, h config.Header) ([]byte, error) {
-				return config.NewKeyIssued(h, config.Key{ID: fmt.Sprintf("new-%d", i), Hash: [32]byte{1}, Workspace: "workspace-0"})
-			},
-			"rate": func(i int, h config.Header) ([]byte, error) {
-				want := *f.state.Mesh()
-				want.Workspaces = maps.Clone(want.Workspaces)
-				ws := want.Workspaces["workspace-0"]
-				ws.RatePerSecond = float64(1001 + i%2)
-				want.Workspaces["workspace-0"] = ws
-				plan, err := config.Plan(f.state, &want)
-				if err != nil {
-					return nil, err
-				}
-				return config.NewChange(h, plan)
-			},
-		}
+	for _, f := range fleet.Sizes {
+		f.Build()
+		kinds := map[string]func(int, config.Header) ([]byte, error){"rate": f.RateChange, "join": f.Restart, "key": f.KeyIssued}
 		for _, kind := range []string{"rate", "join", "key"} {
-			b.Run(f.String()+"/"+kind, func(b *testing.B) { f.benchmarkChange(b, kinds[kind]) })
+			b.Run(f.String()+"/"+kind, func(b *testing.B) { benchmarkChange(b, &f, kinds[kind]) })
 		}
 	}
 }
 
-func (f *fleet) benchmarkChange(b *testing.B, build func(int, config.Header) ([]byte, error)) {
-	n := f.node(0)
-	from := len(f.log)
+func benchmarkChange(b *testing.B, f *fleet.Fleet, build func(int, config.Header) ([]byte, error)) {
+	n := fold(f, 0)
+	from := len(f.Log)
 	var out []Effect
 	for i := 0; b.Loop(); i++ {
 		b.StopTimer()
-		f.add(func(h config.Header) ([]byte, error) { return build(i, h) })
-		offset := uint64(len(f.log) - 1)
-		ev := &LogRead{From: offset, Page: logservice.Page{Head: offset + 1,
-			Records: []logservice.Record{{Offset: offset, Data: f.log[offset]}}}}
+		f.Add(func(h config.Header) ([]byte, error) { return build(i, h) })
+		offset := uint64(len(f.Log) - 1)
+		ev := &LogRead{From: offset, Page: f.Page(offset)}
 		b.StartTimer()
 		out = n.Step(time.Second, ev, out[:0])
 	}
-	if n.LogOffset() != uint64(len(f.log)) || len(f.log) == from {
+	if n.LogOffset() != uint64(len(f.Log)) || len(f.Log) == from {
 		b.Fatal("the node has not folded the changes")
 	}
 }
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cardamomhatch/internal/fleet"
 	"cardamomhatch/internal/mesh"
 )
 
@@ -15,17 +16,17 @@
 // Guards against a relay whose work grows with the fleet, and against a node
 // that no path of relays connects to the panel.
 func TestRelaysSpreadOverALargeFleet(t *testing.T) {
-	f := fleet{nodes: 25_000, services: 2_700}
-	for i := range f.nodes {
-		f.members = append(f.members, f.member(i))
+	f := fleet.Fleet{Nodes: 25_000, Services: 2_700}
+	for i := range f.Nodes {
+		f.Members = append(f.Members, f.Member(i))
 	}
 	asks := map[mesh.NodeID][]mesh.NodeID{}
 	askers := map[mesh.NodeID]int{}
-	for _, m := range f.members {
+	for _, m := range f.Members {
 		if m.DataCentre != "dc-00" && m.DataCentre != "dc-07" {
 			continue // the others are alike, and each node scans the fleet
 		}
-		asks[m.Node] = relaysOf(m, f.members)
+		asks[m.Node] = relaysOf(m, f.Members)
 		for _, relay := range asks[m.Node] {
 			askers[relay]++
 		}
@@ -57,16 +58,16 @@
 // Guards against a fleet in which every node reads the log, or one in which a
 // node that is cut off from its relays does not.
 func TestReadersOfALargeFleet(t *testing.T) {
-	f := fleet{nodes: 100, services: 2}
-	for i := range f.nodes {
-		m := f.member(i)
+	f := fleet.Fleet{Nodes: 100, Services: 2}
+	for i := range f.Nodes {
+		m := f.Member(i)
 		m.DataCentre = "dc"
-		f.members = append(f.members, m)
+		f.Members = append(f.Members, m)
 	}
 	readers := 0
-	for _, m := range f.members {
+	for _, m := range f.Members {
 		n := New(Config{Self: m})
-		n.control.folded = f.members
+		n.control.folded = f.Members
 		if !n.ReadsLog() {
 			t.Fatalf("%s does not read before it has been at the head", m.Node)
 		}
@@ -78,13 +79,13 @@
 		if n.lastNow = 2 * time.Second; !n.ReadsLog() {
 			t.Fatalf("%s does not read although its evidence has lapsed", m.Node)
 		}
-		n.control.folded = f.members[:readerFleet-1]
+		n.control.folded = f.Members[:readerFleet-1]
 		n.foldMembers(0, changes{})
 		if n.lastNow = 0; !n.ReadsLog() {
 			t.Fatalf("%s does not read in a small fleet", m.Node)
 		}
 	}
 	if readers != relayCount {
-		t.Errorf("%d of %d nodes read the log, want %d", readers, f.nodes, relayCount)
+		t.Errorf("%d of %d nodes read the log, want %d", readers, f.Nodes, relayCount)
 	}
 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,164 @@
+// Package fleet makes logs of synthetic fleets, so that the cost of a node can be
+// measured at sizes that no test machine can run.
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/declaration"
+	"cardamomhatch/internal/logservice"
+	"cardamomhatch/internal/mesh"
+)
+
+// panelSize is the number of panel members of a fleet in many data centres.
+const panelSize = 19
+
+// Fleet is a fleet of a given size. State, Log and Members are set by Build.
+type Fleet struct {
+	Nodes, Services, Workspaces, Keys int
+
+	State   *config.State // the folded log
+	Log     [][]byte
+	Members []mesh.Member
+}
+
+// Sizes are three fleets in proportion; the last is the two-year target.
+var Sizes = []Fleet{
+	{Nodes: 250, Services: 27, Workspaces: 20, Keys: 100},
+	{Nodes: 2_500, Services: 270, Workspaces: 200, Keys: 1_000},
+	{Nodes: 25_000, Services: 2_700, Workspaces: 2_000, Keys: 10_000},
+}
+
+// String names the fleet by its number of nodes.
+func (f *Fleet) String() string { return fmt.Sprintf("nodes=%d", f.Nodes) }
+
+// Service returns the name of a service, by index.
+func (f *Fleet) Service(i int) mesh.Service { return mesh.Service(fmt.Sprintf("service-%d", i)) }
+
+func (f *Fleet) declare() *declaration.Mesh {
+	m := &declaration.Mesh{
+		Name:       "fleet",
+		Services:   make(map[mesh.Service]declaration.Service),
+		Workspaces: make(map[mesh.Workspace]declaration.Workspace),
+	}
+	for i := range f.Services {
+		s := f.Service(i)
+		m.Services[s] = declaration.Service{Name: s}
+		m.Routes = append(m.Routes, declaration.Route{Method: "GET", Pattern: "/" + string(s), Service: s,
+			Idempotent: true, Class: mesh.ClassNormal, Timeout: time.Second})
+		if i%15 != 14 && i+1 < f.Services { // chains of 15 services
+			m.Edges = append(m.Edges, declaration.Edge{From: s, To: f.Service(i + 1), CallsPerParent: 1, Idempotent: true})
+		}
+	}
+	for i := range f.Workspaces {
+		ws := mesh.Workspace(fmt.Sprintf("workspace-%d", i))
+		m.Workspaces[ws] = declaration.Workspace{Name: ws, RatePerSecond: 1000, Burst: 1024, Weight: 1}
+	}
+	parsed, err := declaration.Parse(declaration.File{Name: "fleet.ini", Data: declaration.Format(m)})
+	if err != nil {
+		panic(err)
+	}
+	return parsed
+}
+
+// Add folds one more record and appends it to the log. It panics if the record
+// is not accepted.
+func (f *Fleet) Add(build func(config.Header) ([]byte, error)) {
+	h := config.Header{By: mesh.NodeID{Host: "operator", Incarnation: 1}, After: f.State.Offset()}
+	for i := range 8 {
+		h.Token[i] = byte(len(f.Log) >> (8 * i))
+	}
+	h.Token[15] = 1
+	data, err := build(h)
+	if err != nil {
+		panic(err)
+	}
+	if v := f.State.Fold(f.State.Offset(), data); v.Kind != config.Accepted {
+		panic(v.String())
+	}
+	f.Log = append(f.Log, data)
+}
+
+// Build writes the log: declaration, keys, members, panel and shares.
+func (f *Fleet) Build() {
+	f.State = config.New()
+	plan, err := config.Plan(f.State, f.declare())
+	if err != nil {
+		panic(err)
+	}
+	f.Add(func(h config.Header) ([]byte, error) { return config.NewChange(h, plan) })
+	for i := range f.Keys {
+		k := config.Key{ID: fmt.Sprintf("%016x", i), Workspace: mesh.Workspace(fmt.Sprintf("workspace-%d", i%f.Workspaces))}
+		k.Hash[0], k.Hash[1], k.Hash[2] = byte(i), byte(i>>8), 1
+		f.Add(func(h config.Header) ([]byte, error) { return config.NewKeyIssued(h, k) })
+	}
+	for i := range f.Nodes {
+		m := f.Member(i)
+		f.Members = append(f.Members, m)
+		f.Add(func(h config.Header) ([]byte, error) { return config.NewNodeJoined(h, m) })
+	}
+	var panel []mesh.NodeID
+	for i := range panelSize {
+		panel = append(panel, f.Members[i].Node)
+	}
+	f.Add(func(h config.Header) ([]byte, error) { return config.NewPanel(h, 1, panel) })
+	for i := range f.Workspaces {
+		var holders []mesh.NodeID
+		for j := range 32 {
+			holders = append(holders, f.Members[(i*32+j)%f.Nodes].Node)
+		}
+		ws := mesh.Workspace(fmt.Sprintf("workspace-%d", i))
+		f.Add(func(h config.Header) ([]byte, error) { return config.NewShares(h, ws, 0, holders) })
+	}
+}
+
+// Member returns the member with an index.
+func (f *Fleet) Member(i int) mesh.Member {
+	host := fmt.Sprintf("host-%05d", i)
+	address := fmt.Sprintf("10.%d.%d.%d", i>>16&255, i>>8&255, i&255)
+	return mesh.Member{
+		Node:       mesh.NodeID{Host: mesh.Host(host), Incarnation: mesh.Incarnation(i + 1)},
+		DataCentre: mesh.DataCentre(fmt.Sprintf("dc-%02d", i%18)), Service: f.Service(i % f.Services),
+		PeerAddress: address + ":7001", CallerAddress: address + ":7000", OperatorAddress: address + ":7002",
+	}
+}
+
+// Page returns the records from an offset on, as a read of the log does.
+func (f *Fleet) Page(from uint64) logservice.Page {
+	page := logservice.Page{Head: uint64(len(f.Log))}
+	for offset := from; offset < page.Head; offset++ {
+		page.Records = append(page.Records, logservice.Record{Offset: offset, Data: f.Log[offset]})
+	}
+	return page
+}
+
+// RateChange returns a record that changes the rate of the first workspace; i
+// makes two changes in a row differ.
+func (f *Fleet) RateChange(i int, h config.Header) ([]byte, error) {
+	want := *f.State.Mesh()
+	want.Workspaces = maps.Clone(want.Workspaces)
+	ws := want.Workspaces["workspace-0"]
+	ws.RatePerSecond = float64(1001 + i%2)
+	want.Workspaces["workspace-0"] = ws
+	plan, err := config.Plan(f.State, &want)
+	if err != nil {
+		return nil, err
+	}
+	return config.NewChange(h, plan)
+}
+
+// Restart returns a record that replaces the node of a host by a new
+// incarnation.
+func (f *Fleet) Restart(i int, h config.Header) ([]byte, error) {
+	m := f.Member(i % f.Nodes)
+	m.Node.Incarnation += mesh.Incarnation(1_000_000 + i)
+	return config.NewNodeJoined(h, m)
+}
+
+// KeyIssued returns a record that issues a new key of the first workspace.
+func (f *Fleet) KeyIssued(i int, h config.Header) ([]byte, error) {
+	return config.NewKeyIssued(h, config.Key{ID: fmt.Sprintf("new-%d", i), Hash: [32]byte{1}, Workspace: "workspace-0"})
+}
