--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -32,9 +32,9 @@
 	if n.control.logDown || !n.control.atHead || n.stopping {
 		return
 	}
-	if now >= n.control.callPanel {
-		n.control.callPanel = now + assignCheckInterval
-		n.callPanel()
+	if now >= n.control.probePanel {
+		n.control.probePanel = now + assignCheckInterval
+		n.probePanel()
 		if n.removed() {
 			return // it shows by the next time whether the panel is in reach
 		}
@@ -159,7 +159,7 @@
 	return gone
 }
 
-// checkUnreachable asks the nodes that could not be reached for a sign of life,
+// checkUnreachable asks the nodes that could not be reached for their status,
 // and tells the nodes that would remove them.
 func (n *Node) checkUnreachable() {
 	for _, node := range n.unreachableNodes() {
@@ -193,7 +193,7 @@
 	return slices.SortedFunc(maps.Keys(n.control.unreachable), compareNodes)
 }
 
-// reachesMajority asks the panel for a sign of life and reports whether a
+// reachesMajority asks the panel for its status and reports whether a
 // majority has given one lately. A node that is cut off itself, but reaches the
 // log, must not remove all others.
 func (n *Node) reachesMajority(now time.Duration) bool {
@@ -216,12 +216,12 @@
 	}
 }
 
-// callPanel asks the members of the panel for a sign of life: the node that
+// probePanel asks the members of the panel for their status: the node that
 // assigns the panel does so regularly, and a node that was removed does so before
 // it joins again. While the log is up
 // nothing else may be sent to them, and a panel of dead nodes would be found out
 // only in the next outage of the log.
-func (n *Node) callPanel() {
+func (n *Node) probePanel() {
 	if n.removed() {
 		clear(n.control.unreachable) // nobody answers a removed node
 	} else if !n.assigns("panel") {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -48,7 +48,7 @@
 	assignDirty bool // the assignments may need a change
 	assignCheck time.Duration
 	snapshots   snapshots
-	callPanel   time.Duration // when the panel is asked for a sign of life again
+	probePanel  time.Duration // when the panel is asked for its status again
 	proposals   map[string]*proposal
 	tasks       map[string]string // token of the proposal of an assignment task
 	withdrawals map[keys.ID]*withdrawal
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -22,7 +22,7 @@
 // MaxDepth is the longest chain of calls of one customer action.
 const MaxDepth = 15
 
-// authenticate checks a caller's key and that this node may vouch for it.
+// authenticate checks a caller's key and that this node's keys are current.
 func (n *Node) authenticate(now time.Duration, secret []byte) (mesh.Workspace, outcome.Reason) {
 	if !n.configured() {
 		return "", outcome.NoConfiguration
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -84,7 +84,7 @@
 	if !n.control.successor.IsZero() {
 		n.envelopes = n.quota.HandOver(now, n.control.successor, n.envelopes)
 	}
-	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Estates))})
+	n.recordEvent(now, timeline.Event{Kind: timeline.HandedOver, Value: int64(len(h.Owners))})
 }
 
 // leave tells the others that this node has left. It comes after the answer to
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,6 +1,6 @@
 // Package operator serves the intent API on the operator listener: operators
 // state what they want, read what would change, and confirm it before anything
-// takes effect. It exists to give an honest answer to every confirmation:
+// takes effect. It exists to give a truthful answer to every confirmation:
 // accepted, rejected with the reason, or not known yet with a place to ask.
 package operator
 
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -254,7 +254,7 @@
 	l.grant(now, h, from, a, amount)
 }
 
-// deny says that there is nothing. Each asker is told to stay away for as long
+// deny says that there is nothing. Each asker is told not to ask again for as long
 // as the level needs for one call for each of the recent askers.
 func (l *Ledger) deny(now time.Duration, h *held, q queuedAsk) {
 	if now >= h.denialsAt+denialsWindow {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -40,7 +40,7 @@
 	failures   int // failures and lost attempts since the last answer
 	suspended  time.Duration
 	suspension time.Duration // length of the last suspension
-	notServing bool          // suspended by its own word
+	notServing bool          // it refused because it takes no work
 	report     float64       // factor from the last report, at least 1
 	reportAt   time.Duration
 }
--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -15,8 +15,8 @@
 type Book struct {
 	self      mesh.NodeID
 	cfg       Config
-	own       *estate
-	estates   map[mesh.NodeID]*estate
+	own       *owner
+	owners    map[mesh.NodeID]*owner
 	accepted  map[mesh.NodeID][32]byte // digest of the handover each owner came with
 	redirects map[mesh.NodeID]redirect
 	sequence  uint64
@@ -40,7 +40,7 @@
 // New returns the Book of a node. macKey must be random for each incarnation.
 func New(self mesh.NodeID, macKey [32]byte, cfg Config) *Book {
 	cfg = cfg.withDefaults()
-	own := &estate{
+	own := &owner{
 		owner:   self,
 		key:     macKey,
 		mac:     newMAC(macKey),
@@ -53,7 +53,7 @@
 		cfg:       cfg,
 		decoder:   decoder{host: self.Host},
 		own:       own,
-		estates:   map[mesh.NodeID]*estate{self: own},
+		owners:    map[mesh.NodeID]*owner{self: own},
 		accepted:  map[mesh.NodeID][32]byte{},
 		redirects: map[mesh.NodeID]redirect{},
 	}
@@ -91,7 +91,7 @@
 	if err != nil {
 		return b.reject(outcome.NotRun, outcome.TicketInvalid)
 	}
-	e := b.estates[f.owner]
+	e := b.owners[f.owner]
 	if e == nil || b.sealed {
 		return b.elsewhere(f.owner, e != nil)
 	}
@@ -149,7 +149,7 @@
 	return b.reject(m.execution, m.reason)
 }
 
-func (b *Book) start(e *estate, f fields) Beginning {
+func (b *Book) start(e *owner, f fields) Beginning {
 	if b.closed {
 		return b.reject(outcome.NotRun, outcome.Draining)
 	}
@@ -212,12 +212,12 @@
 	return r.waiting
 }
 
-func (b *Book) find(ticket string) (*estate, uint64, *run) {
+func (b *Book) find(ticket string) (*owner, uint64, *run) {
 	f, err := b.decoder.decode(ticket)
 	if err != nil {
 		return nil, 0, nil
 	}
-	e := b.estates[f.owner]
+	e := b.owners[f.owner]
 	if e == nil {
 		return nil, 0, nil
 	}
--- a/internal/ticket/handover.go
+++ b/internal/ticket/handover.go
@@ -43,12 +43,12 @@
 	b.closed, b.sealed = true, true
 	h := Handover{From: b.self, To: b.successor}
 	budget := b.cfg.HandoverBytes
-	for _, e := range b.estates {
-		h.Estates = append(h.Estates, b.export(now, e))
+	for _, e := range b.owners {
+		h.Owners = append(h.Owners, b.export(now, e))
 	}
-	slices.SortFunc(h.Estates, func(x, y Estate) int { return compareNodes(x.Owner, y.Owner) })
-	for i := range h.Estates {
-		budget = trim(h.Estates[i].Markers, budget)
+	slices.SortFunc(h.Owners, func(x, y OwnerState) int { return compareNodes(x.Owner, y.Owner) })
+	for i := range h.Owners {
+		budget = trim(h.Owners[i].Markers, budget)
 	}
 	b.out = outgoing{handover: h, nextSend: now}
 	return h
@@ -58,8 +58,8 @@
 	return cmp.Or(cmp.Compare(x.Host, y.Host), cmp.Compare(x.Incarnation, y.Incarnation))
 }
 
-func (b *Book) export(now time.Duration, e *estate) Estate {
-	out := Estate{
+func (b *Book) export(now time.Duration, e *owner) OwnerState {
+	out := OwnerState{
 		Owner:    e.owner,
 		Key:      e.key,
 		Fast:     e.fastClock(now),
@@ -100,7 +100,7 @@
 	return budget
 }
 
-// Accept takes over the estates of a stopped node. A duplicate of an accepted
+// Accept takes over the tickets of a stopped node. A duplicate of an accepted
 // handover has no effect and returns nil. It fails, and accepts nothing, for a
 // handover to another node, one that differs from what was accepted for an
 // owner before, one that does not fit into the bounds, and after Seal.
@@ -120,7 +120,7 @@
 	if err := b.fits(h); err != nil {
 		return err
 	}
-	for _, in := range h.Estates {
+	for _, in := range h.Owners {
 		b.accepted[in.Owner] = digest
 		b.adopt(now, in)
 	}
@@ -129,7 +129,7 @@
 
 // known reports whether this very handover was accepted before.
 func (b *Book) known(h Handover, digest [32]byte) (bool, error) {
-	for _, in := range h.Estates {
+	for _, in := range h.Owners {
 		if in.Owner == b.self {
 			return false, fmt.Errorf("ticket handover from %s contains tickets of %s itself", h.From, b.self)
 		}
@@ -146,21 +146,21 @@
 
 func (b *Book) fits(h Handover) error {
 	markers := 0
-	for _, in := range h.Estates {
+	for _, in := range h.Owners {
 		markers += len(in.Markers)
 	}
 	if b.Markers()+markers > b.cfg.MaxMarkers {
 		return fmt.Errorf("ticket handover from %s with %d markers does not fit: %d of %d are held",
 			h.From, markers, b.Markers(), b.cfg.MaxMarkers)
 	}
-	if len(b.accepted)+len(h.Estates) > maxAccepted {
+	if len(b.accepted)+len(h.Owners) > maxAccepted {
 		return fmt.Errorf("ticket handover from %s refused: %d owners were taken over before", h.From, len(b.accepted))
 	}
 	return nil
 }
 
-func (b *Book) adopt(now time.Duration, in Estate) {
-	e := &estate{
+func (b *Book) adopt(now time.Duration, in OwnerState) {
+	e := &owner{
 		owner:    in.Owner,
 		key:      in.Key,
 		mac:      newMAC(in.Key),
@@ -172,7 +172,7 @@
 		running:  map[uint64]*run{},
 		buckets:  map[int64]*bucket{},
 	}
-	b.estates[in.Owner] = e
+	b.owners[in.Owner] = e
 	for _, m := range in.Markers {
 		b.store(e, m.Sequence, marker{issued: m.Issued, answer: m.Answer, execution: m.Execution, reason: m.Reason})
 	}
@@ -202,7 +202,7 @@
 	}
 	node(h.From)
 	node(h.To)
-	for _, e := range h.Estates {
+	for _, e := range h.Owners {
 		node(e.Owner)
 		sum.Write(e.Key[:])
 		number(uint64(e.Fast), uint64(e.Slow), uint64(e.SealedAt), uint64(len(e.Markers)))
--- a/internal/ticket/estate.go
+++ b/internal/ticket/owner.go
@@ -12,8 +12,8 @@
 // life are divided. Whole parts expire, so that no marker needs a timer.
 const bucketsPerTTL = 64
 
-// estate is the state for the tickets of one owner.
-type estate struct {
+// owner is the state for the tickets of one owner.
+type owner struct {
 	owner    mesh.NodeID
 	key      [32]byte
 	mac      hash.Hash
@@ -47,24 +47,24 @@
 }
 
 // fastClock returns the latest time the owner's clock can show.
-func (e *estate) fastClock(now time.Duration) time.Duration {
+func (e *owner) fastClock(now time.Duration) time.Duration {
 	elapsed := now - e.anchor
 	return e.fast + elapsed + elapsed*e.drift/1000
 }
 
 // slowClock returns the earliest time the owner's clock can show.
-func (e *estate) slowClock(now time.Duration) time.Duration {
+func (e *owner) slowClock(now time.Duration) time.Duration {
 	elapsed := now - e.anchor
 	return e.slow + elapsed - elapsed*e.drift/1000
 }
 
 // expired reports whether the ticket may no longer start.
-func (e *estate) expired(now, issued, ttl time.Duration) bool {
+func (e *owner) expired(now, issued, ttl time.Duration) bool {
 	return e.fastClock(now) >= issued+ttl
 }
 
 // plausible reports whether the owner can have issued a ticket at that time.
-func (e *estate) plausible(now, issued time.Duration) bool {
+func (e *owner) plausible(now, issued time.Duration) bool {
 	if e.own {
 		return issued <= e.fastClock(now)
 	}
@@ -75,7 +75,7 @@
 	return max(ttl/bucketsPerTTL, 1)
 }
 
-func (e *estate) find(f fields, ttl time.Duration) (marker, bool) {
+func (e *owner) find(f fields, ttl time.Duration) (marker, bool) {
 	b := e.buckets[int64(f.issued/bucketWidth(ttl))]
 	if b == nil {
 		return marker{}, false
@@ -84,7 +84,7 @@
 	return m, ok
 }
 
-func (e *estate) put(sequence uint64, m marker, ttl time.Duration) {
+func (e *owner) put(sequence uint64, m marker, ttl time.Duration) {
 	index := int64(m.issued / bucketWidth(ttl))
 	b := e.buckets[index]
 	if b == nil {
@@ -96,7 +96,7 @@
 
 // sweep drops the buckets whose last ticket has expired by the slow clock and
 // returns the number of markers and stored bytes dropped.
-func (e *estate) sweep(now, ttl time.Duration) (markers, bytes int) {
+func (e *owner) sweep(now, ttl time.Duration) (markers, bytes int) {
 	width := bucketWidth(ttl)
 	for index, b := range e.buckets {
 		if e.slowClock(now) < time.Duration(index+1)*width+ttl {
--- a/internal/ticket/store.go
+++ b/internal/ticket/store.go
@@ -6,7 +6,7 @@
 
 // stored names a marker with an answer.
 type stored struct {
-	estate   *estate
+	owner    *owner
 	sequence uint64
 	bucket   int64
 }
@@ -42,7 +42,7 @@
 }
 
 // store keeps a finished marker and evicts the oldest answers beyond the bound.
-func (b *Book) store(e *estate, sequence uint64, m marker) {
+func (b *Book) store(e *owner, sequence uint64, m marker) {
 	e.put(sequence, m, b.cfg.TTL)
 	b.finished++
 	if m.answer == nil {
@@ -61,7 +61,7 @@
 
 // evict drops the answer and keeps the marker.
 func (b *Book) evict(s stored) {
-	held := s.estate.buckets[s.bucket]
+	held := s.owner.buckets[s.bucket]
 	if held == nil {
 		return
 	}
@@ -74,7 +74,7 @@
 	held.markers[s.sequence] = m
 }
 
-// sweep drops expired markers, estates without valid tickets, and redirects of
+// sweep drops expired markers, owners without valid tickets, and redirects of
 // owners whose last ticket has expired. Acceptance of a handover is remembered
 // for good: a duplicate that arrives late must not start the clock of its
 // tickets again.
@@ -83,12 +83,12 @@
 		return
 	}
 	b.nextSweep = now + bucketWidth(b.cfg.TTL)
-	for owner, e := range b.estates {
+	for owner, e := range b.owners {
 		markers, bytes := e.sweep(now, b.cfg.TTL)
 		b.finished -= markers
 		b.stored -= bytes
 		if !e.own && len(e.buckets) == 0 && len(e.running) == 0 && e.expired(now, e.sealedAt, b.cfg.TTL) {
-			delete(b.estates, owner)
+			delete(b.owners, owner)
 		}
 	}
 	for owner, r := range b.redirects {
@@ -102,7 +102,7 @@
 func (b *Book) skipExpired() {
 	for {
 		s, ok := b.order.front()
-		if !ok || s.estate.buckets[s.bucket] != nil {
+		if !ok || s.owner.buckets[s.bucket] != nil {
 			return
 		}
 		b.order.pop()
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -82,8 +82,8 @@
 	Answer    *Answer // nil if the answer is not stored
 }
 
-// Estate is the right to accept the tickets of one owner.
-type Estate struct {
+// OwnerState is what a node needs to accept the tickets of one owner.
+type OwnerState struct {
 	Owner    mesh.NodeID
 	Key      [32]byte
 	Fast     time.Duration // owner's clock at the seal, upper estimate
@@ -92,12 +92,12 @@
 	Markers  []Marker
 }
 
-// Handover moves every estate of a stopping node to one successor. It is a
+// Handover moves the state of every owner at a stopping node to one successor. It is a
 // control message and contains MAC keys, so it travels only between
 // authenticated nodes.
 type Handover struct {
 	From, To mesh.NodeID
-	Estates  []Estate
+	Owners   []OwnerState
 }
 
 // MessageName implements mesh.Message.
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -179,8 +179,8 @@
 	}
 	expect(t, b.Begin(now, unused, "w", 6), Running, 0, 0)
 	other := h
-	other.Estates = []Estate{h.Estates[0]}
-	other.Estates[0].Markers = nil
+	other.Owners = []OwnerState{h.Owners[0]}
+	other.Owners[0].Markers = nil
 	if err := b.Accept(now, other); err == nil {
 		t.Fatal("a second, different handover was accepted")
 	}
