--- a/internal/engine/assign.go
+++ b/internal/engine/assign.go
@@ -15,13 +15,10 @@
 	"cardamomhatch/internal/quota"
 )
 
-// maxPanel is the size of the panel; it is odd, so that a majority is as small
-// as possible.
-const maxPanel = 15
-
-// maxPanelLarge is the size of the panel of a mesh over many data centres.
+// Sizes of the panel. They are odd, so that a majority is as small as possible.
 const (
-	maxPanelLarge    = 19
+	maxPanel         = 15
+	maxPanelLarge    = 19 // of a mesh in largeDataCentres or more
 	largeDataCentres = 4
 )
 
@@ -74,10 +71,7 @@
 	if n.control.tasks[task] != "" {
 		return
 	}
-	h := config.Header{By: n.cfg.Self.Node, At: time.Unix(0, n.wall(now)), After: n.state.Offset()}
-	for i := range h.Token {
-		h.Token[i] = byte(n.random.Uint32())
-	}
+	h := config.Header{Token: n.newToken(), By: n.cfg.Self.Node, At: time.Unix(0, n.wall(now)), After: n.state.Offset()}
 	data, err := build(h)
 	if err != nil {
 		panic(errors.Wrapf(err, "record for task %q", task)) // all inputs are folded state
@@ -88,6 +82,15 @@
 	n.control.proposals[token].task = task
 }
 
+// newToken draws the token of a record.
+func (n *Node) newToken() config.Token {
+	var t config.Token
+	for i := range t {
+		t[i] = byte(n.random.Uint32())
+	}
+	return t
+}
+
 // assigns reports whether this node ranks first for a task among the members
 // that it can reach.
 func (n *Node) assigns(task string) bool {
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/hex"
 	"strconv"
 	"time"
 )
@@ -43,11 +42,7 @@
 	}
 	s.offset = offset
 	s.next = now + n.cfg.SnapshotInterval
-	var token [16]byte
-	for i := range token {
-		token[i] = byte(n.random.Uint32())
-	}
-	s.token = hex.EncodeToString(token[:])
+	s.token = n.newToken().String()
 	n.emit(Effect{Kind: AppendSnapshot, AppendID: s.token, Data: data})
 }
 
