--- a/cmd/cardamomhatch/processes_test.go
+++ b/cmd/cardamomhatch/processes_test.go
@@ -24,6 +24,10 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(mainVariable) != "" {
+		go func() { // ends with the test, also if that is killed
+			_, _ = io.Copy(io.Discard, os.Stdin)
+			os.Exit(exitFailed)
+		}()
 		main()
 		return
 	}
@@ -45,6 +49,9 @@
 	c := &child{t: t, cmd: exec.Command(os.Args[0], args...), errors: &lockedBuffer{}, exited: make(chan struct{})}
 	c.cmd.Env = append(os.Environ(), mainVariable+"=1")
 	c.cmd.Stderr = c.errors
+	if _, err := c.cmd.StdinPipe(); err != nil { // open until this process ends
+		t.Fatal(err)
+	}
 	out, err := c.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
