--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -552,6 +552,12 @@
 	return callName{n.member.Node.Host, id}
 }
 
+// ticketFrom obtains a ticket for a workspace from a node.
+func (c *cluster) ticketFrom(n *testNode, ws mesh.Workspace) string {
+	c.step(n, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets[ws])})
+	return c.ends[callName{n.member.Node.Host, c.nextCall}].ticket
+}
+
 // call1 sends a customer call and waits for its end.
 func (c *cluster) call1(n *testNode, ws mesh.Workspace, method, path, ticket string) end {
 	c.t.Helper()
--- a/internal/engine/entry.go
+++ b/internal/engine/entry.go
@@ -295,13 +295,16 @@
 	n.emit(Effect{Kind: Forward, At: now, Call: c.id, Attempt: c.attempt, Member: member, Hop: hop})
 }
 
+// parallelChildren is the number of downstream calls that are expected to share an
+// allowance at the same time.
+const parallelChildren = 2
+
 // partToLend returns how much of the allowance travels with an attempt. The
 // entry node keeps one retry for the case that the attempt is lost together
 // with its report; parallel downstream calls leave half for each other.
 func (n *Node) partToLend(c *call) int {
-	left := c.budget().Left()
 	if c.origin == fromUpstream {
-		return (left + 1) / 2
+		return c.budget().Part(parallelChildren)
 	}
-	return max(left-1, 0)
+	return max(c.budget().Left()-1, 0)
 }
--- a/internal/engine/node_test.go
+++ b/internal/engine/node_test.go
@@ -88,8 +88,7 @@
 // other entry nodes.
 func TestTicketRunsOnce(t *testing.T) {
 	c := testCluster(t, 3)
-	c.step(c.order[0], &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
-	ticket := c.ends[callName{c.order[0].member.Node.Host, c.nextCall}].ticket
+	ticket := c.ticketFrom(c.order[0], "anna")
 	for _, n := range c.order {
 		if got := c.call1(n, "anna", "POST", "/orders", ticket); !got.whole {
 			t.Fatalf("entry %s: %+v", n.member.Node.Host, got)
@@ -148,8 +147,7 @@
 func TestPlannedStopHandsTicketsOver(t *testing.T) {
 	c := testCluster(t, 6)
 	first := c.order[0]
-	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
-	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	ticket := c.ticketFrom(first, "anna")
 	if got := c.call1(first, "anna", "POST", "/orders", ticket); !got.whole {
 		t.Fatalf("order: %+v", got)
 	}
@@ -203,8 +201,7 @@
 func TestRepeatedOrderIsAnsweredOverTheRate(t *testing.T) {
 	c := testCluster(t, 7)
 	first := c.order[0]
-	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["bjorn"])})
-	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	ticket := c.ticketFrom(first, "bjorn")
 	if got := c.call1(first, "bjorn", "POST", "/orders", ticket); !got.whole {
 		t.Fatalf("order: %+v", got)
 	}
@@ -230,8 +227,7 @@
 func TestUnreachableTicketOwnerMayHaveRun(t *testing.T) {
 	c := testCluster(t, 8)
 	owner := c.order[0]
-	c.step(owner, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
-	ticket := c.ends[callName{owner.member.Node.Host, c.nextCall}].ticket
+	ticket := c.ticketFrom(owner, "anna")
 	c.kill(owner)
 	got := c.call1(c.order[1], "anna", "POST", "/orders", ticket)
 	if got.whole || got.refusal.Execution != outcome.MayHaveRun {
--- a/internal/engine/repairs_test.go
+++ b/internal/engine/repairs_test.go
@@ -35,8 +35,7 @@
 func TestRefusalBeforeTicketLookup(t *testing.T) {
 	c := testCluster(t, 21)
 	first := c.order[0]
-	c.step(first, &TicketRequested{Call: c.newCall(), Secret: []byte(c.secrets["anna"])})
-	ticket := c.ends[callName{first.member.Node.Host, c.nextCall}].ticket
+	ticket := c.ticketFrom(first, "anna")
 	if got := c.call1(first, "anna", "POST", "/orders", ticket); !got.whole {
 		t.Fatalf("order: %+v", got)
 	}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -163,14 +163,6 @@
 	return v
 }
 
-// TextOr returns an optional value, or fallback if the key is absent.
-func (s *Section) TextOr(key, fallback string) string {
-	if v, ok := s.lookup(key, false); ok {
-		return v
-	}
-	return fallback
-}
-
 // BoolOr returns an optional value that must be true or false.
 func (s *Section) BoolOr(key string, fallback bool) bool {
 	v, ok := s.lookup(key, false)
