--- a/internal/metricstext/metricstext.go
+++ b/internal/metricstext/metricstext.go
@@ -1,4 +1,5 @@
-package operator
+// Package metricstext writes a registry of metrics as text.
+package metricstext
 
 import (
 	"fmt"
@@ -9,9 +10,9 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// writeMetrics writes one line per value, "name value" or "name.field value",
+// Write writes one line per value, "name value" or "name.field value",
 // sorted by name.
-func writeMetrics(w io.Writer, r metrics.Registry) {
+func Write(w io.Writer, r metrics.Registry) {
 	all := r.GetAll()
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		fields := all[name]
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -12,6 +12,7 @@
 	"cardamomhatch/internal/config"
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/metricstext"
 	"cardamomhatch/internal/timeline"
 )
 
@@ -222,7 +223,7 @@
 		return http.StatusOK, a.cfg.Metrics, nil
 	}
 	var text bytes.Buffer
-	writeMetrics(&text, a.cfg.Metrics)
+	metricstext.Write(&text, a.cfg.Metrics)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	_, _ = w.Write(text.Bytes()) // the operator is gone
 	return 0, nil, nil
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -67,6 +67,7 @@
 	AnswerNotStored
 	BadRequest
 	DecisionExpired
+	TooLarge
 
 	numReasons
 )
@@ -106,6 +107,7 @@
 	AnswerNotStored:  {"answer-not-stored", http.StatusConflict},
 	BadRequest:       {"bad-request", http.StatusBadRequest},
 	DecisionExpired:  {"decision-expired", http.StatusServiceUnavailable},
+	TooLarge:         {"too-large", http.StatusRequestEntityTooLarge},
 }
 
 // String returns the name used on the wire.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -20,9 +20,8 @@
 	maxSuspension   = 8 * time.Second
 	reportLife      = time.Second
 	maxReportFactor = 4.0
-	busyReport      = 0.8  // reported load from which a report counts
-	reportSlope     = 4.0  // a full node costs 1.8 times as much, which outweighs remoteFactor
-	remoteFactor    = 1.25 // preference for the own data centre
+	busyReport      = 0.8 // reported load from which a report counts
+	reportSlope     = 4.0 // a full node costs 1.8 times as much, which outweighs the default RemoteFactor
 	minRampShare    = 0.05
 )
 
@@ -128,7 +127,7 @@
 
 // cost is the expected time of another attempt, in arbitrary units; lower is
 // better.
-func (n *node) cost(now time.Duration, typical float64) float64 {
+func (n *node) cost(now time.Duration, typical, remoteFactor float64) float64 {
 	latency := n.latency
 	if latency == 0 {
 		latency = typical
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -128,7 +128,7 @@
 		return t.lastResort(now, s, exclude).member, outcome.None
 	case first == nil:
 		return second.member, outcome.None
-	case second == nil, first.cost(now, typical) <= second.cost(now, typical):
+	case second == nil, first.cost(now, typical, t.cfg.RemoteFactor) <= second.cost(now, typical, t.cfg.RemoteFactor):
 		return first.member, outcome.None
 	}
 	return second.member, outcome.None
