Serve the users' platform through the adapter in platform/

Change: internal/sidecar is the shell, platform/ translates names, records and calls, the command serve wires them, deploy/ holds the deploy file and the template of the settings.

--- a/cmd/cardamomhatch/main.go
+++ b/cmd/cardamomhatch/main.go
@@ -17,6 +17,7 @@
 // commands is the command line. Each subcommand has a Run method.
 type commands struct {
 	Run              runCommand              `cmd:"" help:"Run one node as its settings say."`
+	Serve            serveCommand            `cmd:"" help:"Run one node on the users' platform."`
 	Dev              devCommand              `cmd:"" help:"Run an example mesh in one process on loopback."`
 	Plan             planCommand             `cmd:"" help:"Show what declaration files would change. Nothing takes effect."`
 	Confirm          confirmCommand          `cmd:"" help:"Confirm a plan of any kind."`
--- /dev/null
+++ b/internal/sidecar/entry.go
@@ -0,0 +1,243 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/exchange"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/outcome"
+)
+
+const (
+	// bufferedBody is the largest request body that is held so that it can be
+	// sent again; longer ones are streamed to one upstream only.
+	bufferedBody = 512 << 10
+	// defaultTimeout bounds a request whose caller and route state no time.
+	defaultTimeout = 30 * time.Second
+	// waitShare is the part of a route's target latency that a request may wait
+	// in one queue before it is refused, so that the refusal is still early.
+	waitShare = 0.125
+	// innerWaitShare is that of a call of a running request: refusing it wastes
+	// the work of the request, so it waits for as long as it can still be served.
+	innerWaitShare = 0.6
+	// lastAnswerGrace is subtracted from a route's timeout: an answer of this node
+	// still reaches the caller in time.
+	timeoutMargin = 20 * time.Millisecond
+)
+
+// call is one request of a caller at its entry node.
+type call struct {
+	n         *Node
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	service   mesh.Service
+	class     mesh.Class
+	inner     bool // made by an upstream on behalf of a running request
+	arrived   time.Duration
+	deadline  time.Duration // of the answer
+	body      []byte
+	stream    bool // body is not held
+	sent      bool // the stream has been given away
+	attempts  int  // attempts that may have reached an upstream
+	tried     []mesh.NodeID
+	peers     string // hosts tried, for the log
+}
+
+// serveCaller handles every request on the caller listener.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	n.open.Add(1)
+	defer n.open.Add(-1)
+	c := &call{n: n, w: w, r: r, id: r.Header.Get(n.cfg.Dialect.Request), arrived: n.now(), catalog: n.current.Load()}
+	if n.stopping.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	if refusal, ok := c.accept(); !ok {
+		c.refuse(refusal)
+		return
+	}
+	c.run()
+}
+
+// accept checks what needs no other node.
+func (c *call) accept() (outcome.Refusal, bool) {
+	n := c.n
+	if c.catalog == nil {
+		return n.refusal(outcome.NotRun, outcome.NoConfiguration, ""), false
+	}
+	if !strings.HasPrefix(c.r.URL.Path, "/") || c.r.Method == http.MethodConnect {
+		return n.refusal(outcome.NotRun, outcome.BadRequest, "the request target is not a path"), false
+	}
+	c.route = c.catalog.Route(c.r.Host, c.r.URL.Path)
+	if c.route == nil {
+		return n.refusal(outcome.NotRun, outcome.NoRoute, ""), false
+	}
+	if refusal, ok := c.identify(); !ok {
+		return refusal, false
+	}
+	c.class = c.catalog.Class(c.route, c.workspace)
+	c.setDeadline()
+	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
+		return n.refusal(outcome.NotRun, outcome.TooLarge, strconv.FormatInt(c.r.ContentLength, 10)), false
+	}
+	return c.admit()
+}
+
+// identify finds the workspace that holds the caller's key.
+func (c *call) identify() (outcome.Refusal, bool) {
+	keys := c.r.Header[c.n.cfg.Dialect.Key]
+	if c.route.Open || len(c.catalog.Workspaces) == 0 {
+		c.inner = len(keys) == 0 && c.route.Open
+		return outcome.Refusal{}, true
+	}
+	if len(keys) != 1 {
+		return c.n.refusal(outcome.NotRun, outcome.KeyMissing, ""), false
+	}
+	c.workspace = c.catalog.Key(keys[0])
+	if c.workspace == nil {
+		return c.n.refusal(outcome.NotRun, outcome.KeyInvalid, ""), false
+	}
+	return outcome.Refusal{}, true
+}
+
+func (c *call) setDeadline() {
+	limit := defaultTimeout
+	if ms, err := strconv.ParseInt(c.r.Header.Get(c.n.cfg.Dialect.Remaining), 10, 64); err == nil && ms >= 0 {
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	if c.route.Timeout > 0 {
+		limit = min(limit, c.route.Timeout)
+	}
+	c.deadline = c.arrived + limit - timeoutMargin
+}
+
+// admit applies the limits of the workspace and of overload.
+func (c *call) admit() (outcome.Refusal, bool) {
+	n := c.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.service = n.splitter.Pick(c.route)
+	n.budget(c.service).First(n.now(), n.cfg.Bounds.Retry)
+	return outcome.Refusal{}, true
+}
+
+// run makes attempts until one is answered or no further one makes sense.
+func (c *call) run() {
+	if err := c.readBody(); err != nil {
+		c.refuse(c.n.refusal(outcome.NotRun, outcome.CallerGone, err.Error()))
+		return
+	}
+	execution := outcome.NotRun
+	for {
+		target, ok := c.place()
+		if !ok {
+			c.refuse(c.n.refusal(execution, outcome.NoUpstream, ""))
+			return
+		}
+		a := c.attempt(target)
+		c.ended(target, &a)
+		if a.answer != nil {
+			refusal, done := c.relay(&a)
+			if done {
+				return
+			}
+			a.refusal = refusal
+		}
+		execution = max(execution, a.refusal.Execution)
+		a.refusal.Execution = execution
+		if !c.again(&a) {
+			c.refuse(a.refusal)
+			return
+		}
+	}
+}
+
+// readBody reads a short request body into memory.
+func (c *call) readBody() error {
+	length := c.r.ContentLength
+	if length == 0 {
+		return nil
+	}
+	if length > bufferedBody {
+		c.stream = true
+		return nil
+	}
+	if length > 0 {
+		c.body = make([]byte, length)
+		_, err := io.ReadFull(c.r.Body, c.body)
+		return errors.Wrap(err, "read the request body")
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, bufferedBody+1))
+	c.body = body
+	if err == nil && len(body) > bufferedBody {
+		c.stream = true
+	}
+	return errors.Wrap(err, "read the request body")
+}
+
+// attemptBody returns the body of one attempt.
+func (c *call) attemptBody() exchange.Body {
+	switch {
+	case !c.stream:
+		return exchange.Body{Source: bytes.NewReader(c.body), Length: int64(len(c.body))}
+	case len(c.body) > 0:
+		return exchange.Body{Source: io.MultiReader(bytes.NewReader(c.body), c.r.Body), Length: -1}
+	}
+	return exchange.Body{Source: c.r.Body, Length: c.r.ContentLength}
+}
+
+// place chooses the node for the next attempt.
+func (c *call) place() (mesh.Member, bool) {
+	n := c.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var exclude mesh.NodeID
+	if len(c.tried) > 0 {
+		exclude = c.tried[len(c.tried)-1]
+	}
+	m, reason := n.table.Pick(n.now(), c.service, c.class, exclude)
+	if reason != outcome.None {
+		return mesh.Member{}, false
+	}
+	n.table.Sent(n.now(), m.Node)
+	return m, true
+}
+
+// waitLimit is how long the request may wait in the queue of one node.
+func (c *call) waitLimit(remaining time.Duration) time.Duration {
+	if c.inner {
+		return time.Duration(innerWaitShare * float64(remaining))
+	}
+	limit := time.Duration(waitShare * float64(c.route.Target))
+	if limit <= 0 {
+		limit = time.Duration(waitShare * float64(remaining))
+	}
+	return max(min(limit-(c.n.now()-c.arrived), remaining), 0)
+}
+
+func (c *call) hop(target mesh.Member) hop {
+	remaining := max(c.deadline-c.n.now(), time.Millisecond)
+	h := hop{
+		Target: target.Node, Service: c.service, Caller: c.n.cfg.Self.Service, Class: c.class, Inner: c.inner,
+		Once: !c.route.Idempotent, Repeat: c.attempts > 0, Remaining: remaining, Wait: c.waitLimit(remaining),
+	}
+	if c.workspace != nil {
+		h.Workspace = c.workspace.Name
+	}
+	return h
+}
+
+// context returns the context of the caller's connection.
+func (c *call) context() context.Context { return c.r.Context() }
