Keep limits over the fleet by demand, and refuse at the entry what fails deep

Change: ratelimit splits limits by demand and lends tokens between nodes. pressure estimates the uncut demand of each upstream from weighted arrivals and sends the cut up on the answers. Calls of upstreams get the level of the parent with the same deadline.

--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -18,6 +18,7 @@
 
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
 	"cardamomhatch/internal/settings"
 	"cardamomhatch/internal/sidecar"
@@ -111,8 +112,8 @@
 		Directory:       store,
 		Bounds: sidecar.Bounds{
 			Drain: set.Terms.Drain, Grace: set.Terms.Grace, Heartbeat: set.Terms.Heartbeat,
-			Retry:       retry.BudgetConfig{Ratio: set.Terms.RetryRatio, Allowance: set.Terms.RetryAllowance, Window: set.Terms.RetryWindow},
-			QuotaWindow: set.Terms.QuotaWindow, QuotaOverage: set.Terms.QuotaOverage, QuotaSlack: set.Terms.QuotaSlack,
+			Retry: retry.BudgetConfig{Ratio: set.Terms.RetryRatio, Allowance: set.Terms.RetryAllowance, Window: set.Terms.RetryWindow},
+			Quota: ratelimit.Tolerance{Window: set.Terms.QuotaWindow, Overage: set.Terms.QuotaOverage, Slack: set.Terms.QuotaSlack},
 		},
 		Log:           log,
 		Metrics:       registry,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,10 @@
 	"cardamomhatch/internal/mesh"
 )
 
+// separators are the characters that names must not contain, because nodes use
+// them between fields.
+const separators = ";\r\n"
+
 // Part is one service of a route and its weight among the route's parts.
 type Part struct {
 	Service mesh.Service
@@ -37,9 +41,8 @@
 type Workspace struct {
 	Name          mesh.Workspace
 	Keys          []string
-	Class         mesh.Class // goes before the class of the route if Ranked
-	Ranked        bool
-	RatePerSecond float64 // zero: no limit
+	Class         mesh.Class // goes before the class of the route
+	RatePerSecond float64    // zero: no limit
 	Burst         float64
 }
 
@@ -100,6 +103,9 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range c.Workspaces {
+		if strings.ContainsAny(string(c.Workspaces[i].Name), separators) {
+			return nil, fmt.Errorf("workspace %q: the name contains a separator", c.Workspaces[i].Name)
+		}
 		for _, key := range c.Workspaces[i].Keys {
 			c.byKey[key] = &c.Workspaces[i]
 		}
@@ -114,8 +120,11 @@
 	if len(r.Parts) == 0 {
 		return fmt.Errorf("route %q names no service", r.Name)
 	}
+	if strings.ContainsAny(r.Name, separators) {
+		return fmt.Errorf("route %q: the name contains a separator", r.Name)
+	}
 	for _, p := range r.Parts {
-		if p.Service == "" || p.Weight < 0 {
+		if p.Service == "" || strings.ContainsAny(string(p.Service), separators) || p.Weight < 0 {
 			return fmt.Errorf("route %q: service %q with weight %v", r.Name, p.Service, p.Weight)
 		}
 	}
@@ -144,15 +153,6 @@
 	return s, ok
 }
 
-// Class returns the class of a request on the route by the workspace, which may
-// be nil.
-func (c *Catalog) Class(r *Route, w *Workspace) mesh.Class {
-	if w != nil && w.Ranked {
-		return w.Class
-	}
-	return r.Class
-}
-
 // Services returns the names of the declared services.
 func (c *Catalog) Services() []mesh.Service {
 	names := make([]mesh.Service, 0, len(c.services))
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -68,6 +68,7 @@
 	BadRequest
 	DecisionExpired
 	TooLarge
+	UpstreamShed
 
 	numReasons
 )
@@ -108,6 +109,7 @@
 	BadRequest:       {"bad-request", http.StatusBadRequest},
 	DecisionExpired:  {"decision-expired", http.StatusServiceUnavailable},
 	TooLarge:         {"too-large", http.StatusRequestEntityTooLarge},
+	UpstreamShed:     {"upstream-shed", http.StatusServiceUnavailable},
 }
 
 // String returns the name used on the wire.
--- /dev/null
+++ b/internal/pressure/pressure.go
@@ -0,0 +1,164 @@
+// Package pressure refuses at the entry what would fail deep in the call graph.
+//
+// The load pattern it answers: a service at the end of a chain has less capacity
+// than the requests at the entry need, so calls are refused there after the
+// services above have done their work, the requests fail and their callers repeat
+// them. Nobody declares the call graph. Each node therefore meters the load that
+// its upstream is offered and states a cut: the least important requests to be
+// admitted. Cuts travel on the answers, to whoever calls, and a node passes on
+// the tightest cut of all that the requests of a route call below it. The entry
+// refuses by that cut, so that work is admitted whole or not at all.
+package pressure
+
+import (
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// Level orders requests: the class of the workspace goes first, then that of the
+// route. Lower levels are refused later.
+type Level uint8
+
+// NumLevels is the number of levels.
+const NumLevels = mesh.NumClasses * mesh.NumClasses
+
+// LevelOf returns the level of a request.
+func LevelOf(workspace, route mesh.Class) Level {
+	return Level(min(workspace, mesh.NumClasses-1))*mesh.NumClasses + Level(min(route, mesh.NumClasses-1))
+}
+
+// Cut admits every level below its whole part, and of that level its fraction.
+type Cut float64
+
+// Open admits every request.
+const Open Cut = NumLevels
+
+// probeShare is the part of every level that passes any cut. Its requests tell
+// how much of the level there is; without them the cut would have to open blindly.
+const probeShare = 0.03
+
+// Share is the part of a level's requests that passes.
+func (c Cut) Share(level Level) float64 {
+	return min(max(float64(c)-float64(level), probeShare), 1)
+}
+
+// Admits reports whether a request of the level passes. draw is uniform in
+// [0, 1).
+func (c Cut) Admits(level Level, draw float64) bool { return draw < c.Share(level) }
+
+const (
+	meterSlot = 50 * time.Millisecond // over which arrivals are counted
+	meterGain = 0.1                   // weight of the last slot: a memory of about 500 ms
+	// aim is the part of the capacity that admitted work may use. The rest takes
+	// up the variation of arrivals.
+	aim         = 0.95
+	latencyGain = 0.05
+	// maxWeight bounds what one request can stand for.
+	maxWeight = 1 / probeShare
+)
+
+// flow is one level's requests, those of callers and calls of upstreams apart.
+type flow struct {
+	arrivals float64 // in the current slot, each with its weight
+	rate     float64 // per second
+	latency  float64 // seconds at the upstream
+}
+
+// Meter determines the cut of one upstream. It estimates the load that the
+// upstream would be offered without any cut: each request carries a weight, the
+// inverse of the share with which its level was admitted. The estimate does not
+// depend on the cut, so the cut cannot oscillate although it takes effect only
+// after the requests admitted before have made their calls. A Meter is not safe
+// for concurrent use.
+type Meter struct {
+	flows   [NumLevels][2]flow
+	overall float64 // latency of all flows, for those not measured yet
+	slot    time.Duration
+}
+
+// NewMeter returns a meter that has counted nothing.
+func NewMeter() *Meter { return &Meter{} }
+
+func kind(inner bool) int {
+	if inner {
+		return 1
+	}
+	return 0
+}
+
+// Arrived counts a request that is to run at the upstream, whether or not it is
+// admitted there.
+func (m *Meter) Arrived(now time.Duration, level Level, inner bool, weight float64) {
+	m.roll(now)
+	m.flows[min(level, NumLevels-1)][kind(inner)].arrivals += min(max(weight, 1), maxWeight)
+}
+
+// Worked records how long the upstream worked on a request.
+func (m *Meter) Worked(level Level, inner bool, latency time.Duration) {
+	f := &m.flows[min(level, NumLevels-1)][kind(inner)]
+	s := latency.Seconds()
+	if f.latency == 0 {
+		f.latency = s
+	}
+	if m.overall == 0 {
+		m.overall = s
+	}
+	f.latency += latencyGain * (s - f.latency)
+	m.overall += latencyGain * (s - m.overall)
+}
+
+func (m *Meter) roll(now time.Duration) {
+	const memory = 60 * meterSlot // after which the rates have decayed
+	if now-m.slot > memory {
+		m.slot = now - memory
+	}
+	for now-m.slot >= meterSlot {
+		m.slot += meterSlot
+		for l := range m.flows {
+			for k := range m.flows[l] {
+				f := &m.flows[l][k]
+				f.rate += meterGain * (f.arrivals/meterSlot.Seconds() - f.rate)
+				f.arrivals = 0
+			}
+		}
+	}
+}
+
+// load returns the slots that a level would need without a cut.
+func (m *Meter) load(l int) float64 {
+	sum := 0.0
+	for k := range m.flows[l] {
+		f := &m.flows[l][k]
+		latency := f.latency
+		if latency == 0 {
+			latency = m.overall
+		}
+		sum += f.rate * latency
+	}
+	return sum
+}
+
+// Demand returns the slots that all requests would need without a cut.
+func (m *Meter) Demand() float64 {
+	sum := 0.0
+	for l := range m.flows {
+		sum += m.load(l)
+	}
+	return sum
+}
+
+// Cut returns the cut for a capacity in slots: levels in their order for as long
+// as the capacity lasts.
+func (m *Meter) Cut(now time.Duration, capacity float64) Cut {
+	m.roll(now)
+	left := aim * capacity
+	for l := range m.flows {
+		load := m.load(l)
+		if load > left {
+			return Cut(float64(l) + max(left, 0)/load)
+		}
+		left -= load
+	}
+	return Open
+}
--- /dev/null
+++ b/internal/ratelimit/ratelimit.go
@@ -0,0 +1,474 @@
+// Package ratelimit keeps each workspace within its rate and burst over all
+// nodes, without a node that knows all requests.
+//
+// The load pattern it answers is a workspace that suddenly sends many times its
+// rate at all nodes, while others stay within theirs and must not be refused. The
+// limit is split into shares that add up to one on every side of a partition: a
+// large workspace's by demand over all nodes, a small one's over as few holders
+// as keep a bucket of several requests each. A node whose bucket is empty borrows
+// from others, so that a request within the rate is not refused because the
+// tokens lie elsewhere. Tokens only move; a lost message destroys some and never
+// makes any. What the operator tolerates above the limit covers shares that are
+// not yet known everywhere.
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	// toleratedShare is the part of the tolerated excess that is handed out; the
+	// rest covers shares that change at different moments on different nodes.
+	toleratedShare = 0.5
+	// leastBucket is the bucket of a holder, in requests. Smaller ones would be
+	// empty after a few arrivals that happen to come together.
+	leastBucket = 4
+	// demandFloor is the part of the rate that is split evenly, so that a node
+	// without requests so far can take its first ones.
+	demandFloor  = 0.1
+	demandSlot   = 250 * time.Millisecond // over which arrivals are counted
+	demandGain   = 0.3                    // weight of the last slot
+	demandNotice = 0.05                   // calls per second that are worth telling
+	// startShare is the part of a second's tokens with which a node begins: its
+	// earlier incarnation may have used up the burst.
+	startShare = 0.25
+	// unknownFleet is the number of nodes that a node assumes until it has heard
+	// of the others.
+	unknownFleet = 64
+	// WaitLimit bounds how long a request waits for borrowed tokens.
+	WaitLimit   = 40 * time.Millisecond
+	lenders     = 2                      // asked at once
+	dryPause    = 150 * time.Millisecond // no asking after nobody had tokens
+	borrowAhead = 100 * time.Millisecond // of demand that is borrowed in advance
+	maxBorrow   = 16
+	// silentHolder is how long a holder may be silent before another takes its
+	// place.
+	silentHolder = 10 * time.Second
+	unit         = 1.0 // tokens per request
+)
+
+// Limit is the limit of a workspace over all nodes. Zero means none.
+type Limit struct {
+	Workspace     mesh.Workspace
+	RatePerSecond float64
+	Burst         float64
+}
+
+// Tolerance is what the operator accepts above a limit in any window: the limit
+// times Overage, plus Slack requests.
+type Tolerance struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// Node is one other node of the fleet.
+type Node struct {
+	Member mesh.Member
+	Silent time.Duration // since it was last known to be alive
+	// Demand is what the node says of its requests per second, by workspace. Nil
+	// means that it has not said anything yet.
+	Demand map[mesh.Workspace]float64
+}
+
+// Result is the decision on one request.
+type Result uint8
+
+// The results.
+const (
+	Taken Result = iota
+	Waiting
+	OverRate
+)
+
+// Ask requests tokens of another node.
+type Ask struct {
+	From      mesh.Member
+	Workspace mesh.Workspace
+	Amount    float64
+	Round     uint64
+}
+
+// Grant answers an Ask. Amount may be zero.
+type Grant struct {
+	Workspace mesh.Workspace
+	Amount    float64
+	Round     uint64
+}
+
+// MessageName implements mesh.Message.
+func (Ask) MessageName() string { return "ratelimit-ask" }
+
+// MessageName implements mesh.Message.
+func (Grant) MessageName() string { return "ratelimit-grant" }
+
+func init() {
+	mesh.RegisterMessage(Ask{})
+	mesh.RegisterMessage(Grant{})
+}
+
+// Outgoing is a message to one member.
+type Outgoing struct {
+	To      mesh.Member
+	Message mesh.Message
+}
+
+// Settled is the decision on a request that waited.
+type Settled struct {
+	Call   uint64
+	Result Result
+}
+
+// Ledger holds the accounts of all workspaces on one node. It is not safe for
+// concurrent use.
+type Ledger struct {
+	self      mesh.Member
+	tolerance Tolerance
+	random    *rand.Rand
+	accounts  map[mesh.Workspace]*account
+	fleet     []Node
+	known     bool // fleet is set
+	outgoing  []Outgoing
+	settled   []Settled
+}
+
+// account is one workspace on this node.
+type account struct {
+	limit    Limit
+	share    float64
+	depth    float64
+	level    float64
+	at       time.Duration
+	lenders  []mesh.Member
+	demand   float64 // arrivals per second
+	arrivals int     // in the current slot
+	slot     time.Duration
+	waiting  []uint64
+	round    uint64
+	open     int // answers of the round that are missing
+	asked    time.Duration
+	dry      time.Duration // nobody has tokens before
+}
+
+// New returns a ledger without accounts.
+func New(self mesh.Member, t Tolerance, seed uint64) *Ledger {
+	return &Ledger{
+		self: self, tolerance: t, random: rand.New(rand.NewPCG(seed, 3)), accounts: map[mesh.Workspace]*account{},
+	}
+}
+
+// SetLimits replaces the limits. Tokens of workspaces that stay are kept, up to
+// the new depth.
+func (l *Ledger) SetLimits(now time.Duration, limits []Limit) {
+	seen := map[mesh.Workspace]bool{}
+	for _, limit := range limits {
+		if limit.RatePerSecond <= 0 {
+			continue
+		}
+		seen[limit.Workspace] = true
+		a := l.accounts[limit.Workspace]
+		if a == nil {
+			a = &account{at: now, slot: now}
+			l.accounts[limit.Workspace] = a
+			a.limit = limit
+			l.split(now, a)
+			a.level = min(a.depth, startShare*limit.RatePerSecond*a.share)
+			continue
+		}
+		a.accrue(now)
+		a.limit = limit
+		l.split(now, a)
+	}
+	for w, a := range l.accounts {
+		if !seen[w] {
+			l.settleAll(a, Taken)
+			delete(l.accounts, w)
+		}
+	}
+}
+
+// SetFleet replaces what is known of the other nodes and splits the limits anew.
+func (l *Ledger) SetFleet(now time.Duration, fleet []Node) {
+	l.fleet, l.known = fleet, true
+	slices.SortFunc(l.fleet, func(a, b Node) int { return compare(string(a.Member.Node.Host), string(b.Member.Node.Host)) })
+	for _, a := range l.accounts {
+		a.accrue(now)
+		l.split(now, a)
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// tolerated is the excess that is handed out for a limit.
+func (l *Ledger) tolerated(limit Limit) float64 {
+	whole := limit.RatePerSecond*l.tolerance.Window.Seconds() + limit.Burst
+	return toleratedShare * (whole*l.tolerance.Overage + l.tolerance.Slack)
+}
+
+// split determines this node's share of a limit, and who can lend to it.
+func (l *Ledger) split(now time.Duration, a *account) {
+	pool := a.limit.Burst + l.tolerated(a.limit)
+	nodes := len(l.fleet) + 1
+	if !l.known {
+		a.share = 1.0 / unknownFleet
+		a.setDepth(max(pool/unknownFleet, unit))
+		return
+	}
+	if holders := max(int(pool/leastBucket), 1); holders < nodes {
+		l.splitAmongHolders(a, holders, pool)
+		return
+	}
+	a.count(now, 0)
+	total, own := 0.0, a.demand
+	for _, n := range l.fleet {
+		if n.Demand == nil {
+			total += own
+			continue
+		}
+		total += n.Demand[a.limit.Workspace]
+	}
+	floor := demandFloor * a.limit.RatePerSecond / float64(nodes)
+	a.share = (own + floor) / (total + own + floor*float64(nodes))
+	a.setDepth(max(pool*a.share, unit))
+	a.lenders = l.members()
+}
+
+func (l *Ledger) members() []mesh.Member {
+	out := make([]mesh.Member, len(l.fleet))
+	for i := range l.fleet {
+		out[i] = l.fleet[i].Member
+	}
+	return out
+}
+
+// splitAmongHolders gives equal shares to the nodes that rank highest for the
+// workspace; all others only borrow.
+func (l *Ledger) splitAmongHolders(a *account, holders int, pool float64) {
+	candidates := make([]mesh.Member, 0, len(l.fleet)+1)
+	candidates = append(candidates, l.self)
+	for _, n := range l.fleet {
+		if n.Silent < silentHolder {
+			candidates = append(candidates, n.Member)
+		}
+	}
+	key := string(a.limit.Workspace)
+	slices.SortFunc(candidates, func(x, y mesh.Member) int {
+		p, q := mesh.RendezvousScore(key, x.Node), mesh.RendezvousScore(key, y.Node)
+		switch {
+		case p > q:
+			return -1
+		case p < q:
+			return 1
+		}
+		return compare(string(x.Node.Host), string(y.Node.Host))
+	})
+	candidates = candidates[:min(holders, len(candidates))]
+	a.share, a.lenders = 0, nil
+	for _, m := range candidates {
+		if m.Node.Host == l.self.Node.Host {
+			a.share = 1 / float64(len(candidates))
+			continue
+		}
+		a.lenders = append(a.lenders, m)
+	}
+	if a.share == 0 {
+		// What has been borrowed in advance is kept.
+		a.depth = maxBorrow
+		return
+	}
+	a.setDepth(pool * a.share)
+}
+
+func (a *account) setDepth(depth float64) {
+	a.depth = depth
+	a.level = min(a.level, depth)
+}
+
+func (a *account) accrue(now time.Duration) {
+	if now > a.at {
+		a.level = min(a.depth, a.level+a.share*a.limit.RatePerSecond*(now-a.at).Seconds())
+		a.at = now
+	}
+}
+
+// count records one arrival for the demand.
+func (a *account) count(now time.Duration, arrivals int) {
+	for now-a.slot >= demandSlot {
+		a.demand += demandGain * (float64(a.arrivals)/demandSlot.Seconds() - a.demand)
+		a.arrivals = 0
+		a.slot += demandSlot
+		if now-a.slot > 100*demandSlot {
+			a.slot, a.demand = now, 0
+		}
+	}
+	a.arrivals += arrivals
+}
+
+// Take decides on one request. A request that waits is settled later.
+func (l *Ledger) Take(now time.Duration, w mesh.Workspace, call uint64) Result {
+	a := l.accounts[w]
+	if a == nil {
+		return Taken
+	}
+	a.count(now, 1)
+	a.accrue(now)
+	if a.level >= unit && len(a.waiting) == 0 {
+		a.level -= unit
+		return Taken
+	}
+	if now < a.dry || len(a.lenders) == 0 {
+		return OverRate
+	}
+	a.waiting = append(a.waiting, call)
+	l.ask(now, a)
+	return Waiting
+}
+
+// ask starts a round unless one is under way.
+func (l *Ledger) ask(now time.Duration, a *account) {
+	if a.open > 0 && now-a.asked < WaitLimit {
+		return
+	}
+	a.round++
+	a.asked = now
+	a.open = min(lenders, len(a.lenders))
+	amount := min(float64(len(a.waiting))+a.demand*borrowAhead.Seconds(), maxBorrow) / float64(a.open)
+	first := l.random.IntN(len(a.lenders))
+	for i := range a.open {
+		to := a.lenders[(first+i*max(len(a.lenders)/lenders, 1))%len(a.lenders)]
+		l.outgoing = append(l.outgoing, Outgoing{to, Ask{From: l.self, Workspace: a.limit.Workspace, Amount: amount, Round: a.round}})
+	}
+}
+
+// Deliver takes a message of another node. It reports whether the message
+// concerned the ledger.
+func (l *Ledger) Deliver(now time.Duration, m mesh.Message) bool {
+	switch m := m.(type) {
+	case Ask:
+		l.lend(now, m)
+	case Grant:
+		l.granted(now, m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (l *Ledger) lend(now time.Duration, m Ask) {
+	amount := 0.0
+	if a := l.accounts[m.Workspace]; a != nil && len(a.waiting) == 0 && m.Amount > 0 {
+		a.count(now, 0)
+		a.accrue(now)
+		spare := a.level - a.demand*borrowAhead.Seconds()
+		amount = max(min(m.Amount, spare), 0)
+		a.level -= amount
+	}
+	l.outgoing = append(l.outgoing, Outgoing{m.From, Grant{Workspace: m.Workspace, Amount: amount, Round: m.Round}})
+}
+
+func (l *Ledger) granted(now time.Duration, m Grant) {
+	a := l.accounts[m.Workspace]
+	if a == nil {
+		return
+	}
+	a.accrue(now)
+	a.level += m.Amount
+	if m.Round == a.round {
+		a.open--
+	}
+	for len(a.waiting) > 0 && a.level >= unit {
+		a.level -= unit
+		l.settled = append(l.settled, Settled{a.waiting[0], Taken})
+		a.waiting = a.waiting[1:]
+	}
+	if a.open > 0 || len(a.waiting) == 0 {
+		return
+	}
+	if m.Amount > 0 {
+		l.ask(now, a)
+		if a.open > 0 {
+			return
+		}
+	}
+	a.dry = now + dryPause
+	l.settleAll(a, OverRate)
+}
+
+func (l *Ledger) settleAll(a *account, r Result) {
+	for _, call := range a.waiting {
+		l.settled = append(l.settled, Settled{call, r})
+	}
+	a.waiting = nil
+}
+
+// Abandon ends the wait of a request. The result is false if it was settled
+// already.
+func (l *Ledger) Abandon(now time.Duration, w mesh.Workspace, call uint64) bool {
+	a := l.accounts[w]
+	if a == nil {
+		return false
+	}
+	i := slices.Index(a.waiting, call)
+	if i < 0 {
+		return false
+	}
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	return true
+}
+
+// Put returns the token of a request that has not run.
+func (l *Ledger) Put(now time.Duration, w mesh.Workspace) {
+	if a := l.accounts[w]; a != nil {
+		a.accrue(now)
+		a.level = min(a.level+unit, max(a.depth, a.level))
+	}
+}
+
+// RetryAfter returns when a refused request of the workspace can be expected to
+// be within the rate: what already waits for tokens comes first.
+func (l *Ledger) RetryAfter(w mesh.Workspace) time.Duration {
+	a := l.accounts[w]
+	if a == nil || a.limit.RatePerSecond <= 0 {
+		return 0
+	}
+	excess := a.demand / max(a.share*a.limit.RatePerSecond, 0.1)
+	return time.Duration(min(max(excess, 0.3), 2) * float64(time.Second))
+}
+
+// Demand returns the requests per second of each workspace at this node.
+func (l *Ledger) Demand(now time.Duration) map[mesh.Workspace]float64 {
+	out := map[mesh.Workspace]float64{}
+	for w, a := range l.accounts {
+		a.count(now, 0)
+		if a.demand >= demandNotice {
+			out[w] = a.demand
+		}
+	}
+	return out
+}
+
+// Outgoing returns the messages to be sent.
+func (l *Ledger) Outgoing() []Outgoing {
+	out := l.outgoing
+	l.outgoing = nil
+	return out
+}
+
+// Settled returns the decisions on requests that waited.
+func (l *Ledger) Settled() []Settled {
+	out := l.settled
+	l.settled = nil
+	return out
+}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -53,7 +53,7 @@
 	if n.isSelf(target) {
 		s := n.serveUpstream(c.context(), &work{hop: h, id: c.id, request: request})
 		a.answer, a.refusal, a.done = s.answer, s.refusal, s.done
-		a.report, a.known = n.report(), true
+		a.report, a.known = n.report(h.Route), true
 		return a
 	}
 	c.forward(&a, h, request)
@@ -105,7 +105,7 @@
 // ended records the result of an attempt.
 func (c *call) ended(target mesh.Member, a *attempt) {
 	n := c.n
-	if a.answer != nil || a.refusal.Execution != outcome.NotRun {
+	if a.answer != nil || a.refusal.Execution != outcome.NotRun || a.refusal.Reason == outcome.UpstreamShed {
 		c.attempts++
 	}
 	sample := routing.Sample{Latency: n.now() - a.began}
@@ -121,15 +121,18 @@
 		sample.Result = resultOf(a.refusal)
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.table.Ended(n.now(), target.Node, sample)
-	n.mu.Unlock()
+	if a.known {
+		n.view.Heard(n.now(), c.target(), a.report.Cut)
+	}
 }
 
 func resultOf(r outcome.Refusal) routing.Result {
 	switch r.Reason {
 	case outcome.CallerGone:
 		return routing.Cancelled
-	case outcome.Overloaded, outcome.QueueTimeout:
+	case outcome.Overloaded, outcome.QueueTimeout, outcome.UpstreamShed:
 		return routing.Refused
 	case outcome.Draining, outcome.NoUpstream:
 		return routing.NotServing
@@ -152,16 +155,17 @@
 	if len(c.tried) >= maxPlacements+c.attempts {
 		return false
 	}
-	if r.Execution == outcome.NotRun {
-		return c.waitLimit(c.deadline-c.n.now()) > 0
+	if r.Execution == outcome.NotRun && r.Reason != outcome.UpstreamShed {
+		return true
 	}
-	return c.repeat()
+	return c.repeat(r.Execution)
 }
 
-// repeat decides whether a request that may have run is sent once more.
-func (c *call) repeat() bool {
+// repeat decides whether a request that has reached an upstream is sent once
+// more.
+func (c *call) repeat(e outcome.Execution) bool {
 	n := c.n
-	if !c.route.Idempotent || (c.route.MaxAttempts > 0 && c.attempts >= c.route.MaxAttempts) {
+	if e != outcome.NotRun && !c.route.Idempotent || (c.route.MaxAttempts > 0 && c.attempts >= c.route.MaxAttempts) {
 		return false
 	}
 	n.mu.Lock()
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -15,6 +15,7 @@
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
 )
 
@@ -61,13 +62,11 @@
 
 // Bounds are the operator's terms.
 type Bounds struct {
-	Drain        time.Duration // a leaving upstream serves so long after its notice
-	Grace        time.Duration // from SIGTERM to SIGKILL
-	Heartbeat    time.Duration // between announcements of an upstream
-	Retry        retry.BudgetConfig
-	QuotaWindow  time.Duration
-	QuotaOverage float64 // part by which a workspace may exceed its limit
-	QuotaSlack   float64 // requests by which it may exceed it further
+	Drain     time.Duration // a leaving upstream serves so long after its notice
+	Grace     time.Duration // from SIGTERM to SIGKILL
+	Heartbeat time.Duration // between announcements of an upstream
+	Retry     retry.BudgetConfig
+	Quota     ratelimit.Tolerance
 }
 
 // Listeners are the sockets of a node.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -15,6 +15,7 @@
 	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/pressure"
 )
 
 const (
@@ -44,13 +45,16 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace
 	service   mesh.Service
-	class     mesh.Class
-	inner     bool // made by an upstream on behalf of a running request
+	level     pressure.Level
+	weight    float64 // inverse of the share with which its level was admitted
+	inner     bool    // made by an upstream on behalf of a running request
 	arrived   time.Duration
 	deadline  time.Duration // of the answer
+	expires   time.Duration // when the caller stops waiting
 	body      []byte
 	stream    bool // body is not held
 	sent      bool // the stream has been given away
+	charged   bool // a token of the workspace was taken
 	attempts  int  // attempts that may have reached an upstream
 	tried     []mesh.NodeID
 	peers     string // hosts tried, for the log
@@ -87,7 +91,6 @@
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
-	c.class = c.catalog.Class(c.route, c.workspace)
 	c.setDeadline()
 	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
 		return n.refusal(outcome.NotRun, outcome.TooLarge, strconv.FormatInt(c.r.ContentLength, 10)), false
@@ -117,6 +120,8 @@
 	if ms, err := strconv.ParseInt(c.r.Header.Get(c.n.cfg.Dialect.Remaining), 10, 64); err == nil && ms >= 0 {
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
+	c.expires = c.arrived + limit
+	c.expires = c.arrived + limit
 	if c.route.Timeout > 0 {
 		limit = min(limit, c.route.Timeout)
 	}
@@ -127,10 +132,27 @@
 func (c *call) admit() (outcome.Refusal, bool) {
 	n := c.n
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	c.service = n.splitter.Pick(c.route)
 	n.budget(c.service).First(n.now(), n.cfg.Bounds.Retry)
-	return outcome.Refusal{}, true
+	cut, admitted := c.rank()
+	n.mu.Unlock()
+	if !admitted {
+		refusal := n.refusal(outcome.NotRun, outcome.Overloaded, "cut "+strconv.FormatFloat(float64(cut), 'f', 2, 64))
+		refusal.RetryAfter = c.returnAfter()
+		return refusal, false
+	}
+	if c.workspace == nil {
+		return outcome.Refusal{}, true
+	}
+	if n.take(c.context(), c.workspace.Name) {
+		c.charged = true
+		return outcome.Refusal{}, true
+	}
+	refusal := n.refusal(outcome.NotRun, outcome.OverRate, "")
+	n.mu.Lock()
+	refusal.RetryAfter = n.ledger.RetryAfter(c.workspace.Name)
+	n.mu.Unlock()
+	return refusal, false
 }
 
 // run makes attempts until one is answered or no further one makes sense.
@@ -207,7 +229,7 @@
 	if len(c.tried) > 0 {
 		exclude = c.tried[len(c.tried)-1]
 	}
-	m, reason := n.table.Pick(n.now(), c.service, c.class, exclude)
+	m, reason := n.table.Pick(n.now(), c.service, mesh.ClassNormal, exclude)
 	if reason != outcome.None {
 		return mesh.Member{}, false
 	}
@@ -230,7 +252,7 @@
 func (c *call) hop(target mesh.Member) hop {
 	remaining := max(c.deadline-c.n.now(), time.Millisecond)
 	h := hop{
-		Target: target.Node, Service: c.service, Caller: c.n.cfg.Self.Service, Class: c.class, Inner: c.inner,
+		Target: target.Node, Service: c.service, Caller: c.n.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Inner: c.inner,
 		Once: !c.route.Idempotent, Repeat: c.attempts > 0, Remaining: remaining, Wait: c.waitLimit(remaining),
 	}
 	if c.workspace != nil {
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// retryLeast and retrySpread place the return of refused callers between
-	// these times, so that they do not come back together.
-	retryLeast  = 100 * time.Millisecond
-	retrySpread = 400 * time.Millisecond
+	// retryLeast and retrySpread place the return of refused callers, as parts of
+	// the target latency, so that they do not come back together.
+	retryLeast      = 0.2
+	retrySpread     = 0.3
+	leastRetryAfter = 50 * time.Millisecond
 )
 
 // refuse ends the request with an answer of this node. The status promises that
@@ -26,6 +27,11 @@
 func (c *call) refuse(r outcome.Refusal) {
 	n := c.n
 	c.logRefusal(r)
+	if c.charged && r.Execution == outcome.NotRun {
+		n.mu.Lock()
+		n.ledger.Put(n.now(), c.workspace.Name)
+		n.mu.Unlock()
+	}
 	status := c.status(r)
 	h := c.w.Header()
 	h[outcome.Header] = []string{fmt.Sprintf("%s; reason=%s; node=%s; retry-after-ms=%d", r.Execution, r.Reason, r.Node, r.RetryAfter.Milliseconds())}
@@ -62,14 +68,19 @@
 	return http.StatusBadGateway
 }
 
-// returnAfter is when a refused caller should come back.
+// returnAfter is when a refused caller should come back: in time for an answer
+// within the target of its route, and not together with the others.
 func (c *call) returnAfter() time.Duration {
-	spread := time.Duration(c.n.nextID.Add(1)*0x9e3779b97f4a7c15>>40) % retrySpread
-	return retryLeast + spread
+	target := time.Second
+	if c.route != nil && c.route.Target > 0 {
+		target = c.route.Target
+	}
+	share := retryLeast + retrySpread*drawOf(c.id+"r")
+	return max(time.Duration(share*float64(target)), leastRetryAfter)
 }
 
 func (c *call) fields() []any {
-	f := []any{"request", c.id, "service", c.service, "class", c.class.String(), "inner", c.inner,
+	f := []any{"request", c.id, "service", c.service, "level", c.level, "inner", c.inner,
 		"ms", (c.n.now() - c.arrived).Milliseconds(), "attempts", c.attempts, "nodes", c.peers}
 	if c.route != nil {
 		f = append(f, "route", c.route.Name, "deadline_ms", (c.deadline - c.arrived).Milliseconds())
@@ -111,7 +122,7 @@
 type nodeMetrics struct {
 	registry                                                                     metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenAnswers, repeats metrics.Counter
-	storeFailures, badDeclarations                                               metrics.Counter
+	orphans, storeFailures, badDeclarations                                      metrics.Counter
 	declaration                                                                  metrics.Gauge
 	latency, queueTime                                                           metrics.Histogram
 }
@@ -133,6 +144,7 @@
 		upstreamSheds:       counter("upstream.sheds"),
 		brokenAnswers:       counter("answers.broken"),
 		repeats:             counter("attempts.repeated"),
+		orphans:             counter("calls.without_parent"),
 		storeFailures:       counter("store.failures"),
 		badDeclarations:     counter("declarations.refused"),
 		declaration:         metrics.GetOrRegisterGauge("declaration.version", r),
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -9,6 +9,7 @@
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/peer"
+	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/roster"
 )
 
@@ -105,6 +106,12 @@
 // declared passes a new declaration to the cores. n.mu is held.
 func (n *Node) declared(c *catalog.Catalog) {
 	n.setMembers(n.now())
+	limits := make([]ratelimit.Limit, len(c.Workspaces))
+	for i, w := range c.Workspaces {
+		limits[i] = ratelimit.Limit{Workspace: w.Name, RatePerSecond: w.RatePerSecond, Burst: w.Burst}
+	}
+	n.ledger.SetLimits(n.now(), limits)
+	n.settle()
 }
 
 // publish tells the store how peers reach this node, and lists the others.
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -9,6 +9,7 @@
 
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/peer"
+	"cardamomhatch/internal/pressure"
 	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
 )
@@ -17,7 +18,8 @@
 	headerPrefix = "Cardamomhatch-"
 	hopHeader    = "Cardamomhatch-Hop"
 	loadHeader   = "Cardamomhatch-Load"
-	hopFields    = 10
+	hopFields    = 12
+	reportFields = 5
 )
 
 // hop is what an entry node tells the serving node about a request.
@@ -26,7 +28,9 @@
 	Service   mesh.Service
 	Workspace mesh.Workspace
 	Caller    mesh.Service // of the machine where the request began
-	Class     mesh.Class
+	Route     string
+	Level     pressure.Level
+	Weight    float64 // requests of the level that it stands for
 	Inner     bool
 	Once      bool // must not run twice
 	Repeat    bool // a further attempt
@@ -48,8 +52,9 @@
 	}
 	return strings.Join([]string{
 		"1", peer.FormatNode(h.Target), string(h.Service), string(h.Workspace), string(h.Caller),
-		strconv.Itoa(int(h.Class)), flags,
-		strconv.FormatInt(h.Remaining.Milliseconds(), 10), strconv.FormatInt(h.Wait.Milliseconds(), 10), "",
+		strconv.Itoa(int(h.Level)), flags,
+		strconv.FormatInt(h.Remaining.Milliseconds(), 10), strconv.FormatInt(h.Wait.Milliseconds(), 10), h.Route,
+		strconv.FormatFloat(h.Weight, 'f', 2, 64), "",
 	}, ";")
 }
 
@@ -68,9 +73,14 @@
 			return hop{}, fmt.Errorf("header %s: %q is not a number", hopHeader, text)
 		}
 	}
+	weight, err := strconv.ParseFloat(f[10], 64)
+	if err != nil {
+		return hop{}, fmt.Errorf("header %s: %q is not a number", hopHeader, f[10])
+	}
 	return hop{
+		Weight: weight,
 		Target: target, Service: mesh.Service(f[2]), Workspace: mesh.Workspace(f[3]), Caller: mesh.Service(f[4]),
-		Class: mesh.Class(min(max(numbers[0], 0), mesh.NumClasses-1)),
+		Route: f[9], Level: pressure.Level(min(max(numbers[0], 0), pressure.NumLevels-1)),
 		Inner: strings.Contains(f[6], "i"), Once: strings.Contains(f[6], "o"), Repeat: strings.Contains(f[6], "r"),
 		Remaining: time.Duration(numbers[1]) * time.Millisecond,
 		Wait:      time.Duration(numbers[2]) * time.Millisecond,
@@ -81,25 +91,30 @@
 type report struct {
 	Load  routing.Report
 	Phase roster.Phase
+	Cut   pressure.Cut // of the request's route, with all that it calls
 }
 
 func (r report) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase)
+	return fmt.Sprintf("%d,%d,%d,%d,%.3f", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, float64(r.Cut))
 }
 
 func parseReport(h http.Header) (report, bool) {
 	f := strings.Split(h.Get(loadHeader), ",")
-	if len(f) < 4 {
+	if len(f) != reportFields {
 		return report{}, false
 	}
-	var n [4]int
+	var n [reportFields - 1]int
 	for i := range n {
 		var err error
 		if n[i], err = strconv.Atoi(f[i]); err != nil {
 			return report{}, false
 		}
 	}
-	return report{routing.Report{InFlight: n[0], Queued: n[1], Limit: n[2]}, roster.Phase(n[3])}, true
+	cut, err := strconv.ParseFloat(f[reportFields-1], 64)
+	if err != nil || !(cut >= 0 && cut <= float64(pressure.Open)) {
+		return report{}, false
+	}
+	return report{routing.Report{InFlight: n[0], Queued: n[1], Limit: n[2]}, roster.Phase(n[3]), pressure.Cut(cut)}, true
 }
 
 // connectionHeaders concern one connection only (RFC 9110, 7.6.1).
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -17,6 +17,8 @@
 	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/peer"
+	"cardamomhatch/internal/pressure"
+	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
 	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
@@ -63,8 +65,14 @@
 	table    *routing.Table
 	splitter catalog.Splitter
 	budgets  map[mesh.Service]*retry.Budget
-	pools    map[string]*exchange.Pool // by peer address
-	phase    roster.Phase              // last published
+	ledger   *ratelimit.Ledger
+	takers   map[uint64]chan ratelimit.Result // requests that wait for tokens
+	fleetAt  time.Duration                    // when the ledger last heard of the fleet
+	pools    map[string]*exchange.Pool        // by peer address
+	meter    *pressure.Meter
+	cut      pressure.Cut // of the local upstream
+	view     *pressure.View
+	running  map[uint64]*running // requests at the local upstream
 }
 
 // New builds a node. Start serves.
@@ -85,7 +93,13 @@
 			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node, RemoteFactor: remoteFactor,
 		}),
 		budgets: map[mesh.Service]*retry.Budget{},
+		ledger:  ratelimit.New(cfg.Self, cfg.Bounds.Quota, cfg.Seed),
+		takers:  map[uint64]chan ratelimit.Result{},
 		pools:   map[string]*exchange.Pool{},
+		meter:   pressure.NewMeter(),
+		cut:     pressure.Open,
+		view:    pressure.NewView(),
+		running: map[uint64]*running{},
 	}
 	n.local = exchange.New(exchange.Config{
 		Address: cfg.UpstreamAddress, DialTimeout: dialTimeout, IdleTimeout: upstreamIdle,
@@ -184,6 +198,8 @@
 			n.mu.Lock()
 			now := n.now()
 			n.publishPhase(now)
+			n.refreshLedger(now)
+			n.updateCut(now)
 			out := n.roster.Tick(now)
 			n.refreshTable(now)
 			n.mu.Unlock()
@@ -206,6 +222,12 @@
 		return
 	}
 	n.mu.Lock()
+	if n.ledger.Deliver(n.now(), e.Message) {
+		out := n.settle()
+		n.mu.Unlock()
+		n.sendTokens(out)
+		return
+	}
 	needs := n.roster.Deliver(n.now(), e.Message)
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -49,12 +49,13 @@
 	}
 	began := n.now()
 	n.metrics.queueTime.Update((began - arrived).Microseconds())
+	n.begin(id, w, deadline)
 	answer, refusal := n.runUpstream(ctx, w, deadline)
 	if answer == nil {
-		n.finish(began, false)
+		n.end(id, w, began, false)
 		return served{refusal: refusal}
 	}
-	return served{answer: answer, done: func(whole bool) { n.finish(began, whole) }}
+	return served{answer: answer, done: func(whole bool) { n.end(id, w, began, whole) }}
 }
 
 // admit waits until the request may run.
@@ -64,8 +65,9 @@
 		n.mu.Unlock()
 		return refusal, false
 	}
+	n.meter.Arrived(now, w.Level, w.Inner, w.Weight)
 	verdict, reason := n.gate.Arrive(now, slots.Work{
-		ID: id, Class: w.Class, Inner: w.Inner, Start: now + w.Wait, Deadline: deadline,
+		ID: id, Level: w.Level, Inner: w.Inner, Start: now + w.Wait, Deadline: deadline,
 	})
 	if verdict != slots.Wait {
 		n.mu.Unlock()
@@ -111,7 +113,7 @@
 	return outcome.Refusal{}, true
 }
 
-// finish ends a request that ran, and starts those that waited for its slot.
+// finish gives a slot back, and starts requests that waited for it.
 func (n *Node) finish(began time.Duration, answered bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -215,7 +217,7 @@
 		n.gate.Shed(n.now())
 	}
 	n.metrics.upstreamSheds.Inc(1)
-	return nil, n.refusal(outcome.NotRun, outcome.Overloaded, "the upstream answered "+strconv.Itoa(status))
+	return nil, n.refusal(outcome.NotRun, outcome.UpstreamShed, "the upstream answered "+strconv.Itoa(status))
 }
 
 // refusal makes a refusal of this node.
@@ -223,11 +225,12 @@
 	return outcome.Refusal{Execution: e, Reason: r, Node: string(n.cfg.Self.Node.Host), Detail: detail}
 }
 
-// report returns the state of this node for an answer.
-func (n *Node) report() report {
+// report returns the state of this node for an answer to a request of a route.
+func (n *Node) report(route string) report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return report{
+		Cut:   min(n.cut, n.view.Below(n.now(), route)),
 		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
 		Phase: n.tracker.Phase(n.now()),
 	}
@@ -243,7 +246,7 @@
 	defer n.open.Add(-1)
 	h, err := parseHop(r.Header.Get(hopHeader))
 	if err != nil {
-		n.writePeerRefusal(w, n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
+		n.writePeerRefusal(w, "", n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
 		return
 	}
 	one := &work{hop: h, id: r.Header.Get(n.cfg.Dialect.Request), request: exchange.Request{
@@ -251,13 +254,13 @@
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
 	if n.leaving() {
-		n.writePeerRefusal(w, n.refusal(outcome.NotRun, outcome.Draining, "the node stops"))
+		n.writePeerRefusal(w, h.Route, n.refusal(outcome.NotRun, outcome.Draining, "the node stops"))
 		return
 	}
 	s := n.serveUpstream(r.Context(), one)
 	if s.answer == nil {
 		n.logPeerRefusal(one, s.refusal)
-		n.writePeerRefusal(w, s.refusal)
+		n.writePeerRefusal(w, h.Route, s.refusal)
 		return
 	}
 	n.relayToPeer(w, one, s)
@@ -269,8 +272,8 @@
 	return n.stopping.Load() && n.now()-time.Duration(n.stopAt.Load()) > noticed
 }
 
-func (n *Node) writePeerRefusal(w http.ResponseWriter, r outcome.Refusal) {
-	w.Header()[loadHeader] = []string{n.report().encode()}
+func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
+	w.Header()[loadHeader] = []string{n.report(route).encode()}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenAnswers.Inc(1)
 	}
@@ -284,9 +287,9 @@
 	if !n.cfg.Log.Enabled(kind) {
 		return
 	}
-	rep := n.report()
+	rep := n.report(w.Route)
 	n.cfg.Log.Write(kind, "serving node refused", "request", w.id, "service", w.Service, "workspace", w.Workspace,
-		"class", w.Class.String(), "inner", w.Inner, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
+		"level", w.Level, "inner", w.Inner, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
 		"running", rep.Load.InFlight, "queued", rep.Load.Queued, "limit", rep.Load.Limit, "remaining_ms", w.Remaining.Milliseconds())
 }
 
@@ -299,7 +302,7 @@
 		s.done(whole)
 	}()
 	copyHeader(w.Header(), forwardable(s.answer.Header))
-	w.Header()[loadHeader] = []string{n.report().encode()}
+	w.Header()[loadHeader] = []string{n.report(one.Route).encode()}
 	if s.answer.ContentLength >= 0 {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(s.answer.ContentLength, 10)}
 	}
@@ -324,5 +327,5 @@
 	}
 }
 
-// memberOf returns this node as the target of a request.
+// isSelf reports whether the member is this node.
 func (n *Node) isSelf(m mesh.Member) bool { return m.Node.Host == n.cfg.Self.Node.Host }
--- /dev/null
+++ b/internal/sidecar/tokens.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/ratelimit"
+	"cardamomhatch/internal/roster"
+)
+
+const (
+	// fleetEvery is how often the shares of the limits follow the demand.
+	fleetEvery = 500 * time.Millisecond
+	// demandChange is the relative change of a workspace's demand that is told to
+	// the peers, and demandStep the least one in requests per second.
+	demandChange = 0.2
+	demandStep   = 0.5
+	// reportsDemandAfter is the time from which a node's demand says something.
+	reportsDemandAfter = 1500 * time.Millisecond
+)
+
+// take takes one token of a workspace, and waits for borrowed ones if need be.
+func (n *Node) take(ctx context.Context, w mesh.Workspace) bool {
+	id := n.nextID.Add(1)
+	n.mu.Lock()
+	result := n.ledger.Take(n.now(), w, id)
+	if result != ratelimit.Waiting {
+		n.mu.Unlock()
+		return result == ratelimit.Taken
+	}
+	settled := make(chan ratelimit.Result, 1)
+	n.takers[id] = settled
+	out := n.settle()
+	n.mu.Unlock()
+	n.sendTokens(out)
+	timer := time.NewTimer(ratelimit.WaitLimit)
+	defer timer.Stop()
+	select {
+	case result = <-settled:
+		return result == ratelimit.Taken
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	n.mu.Lock()
+	delete(n.takers, id)
+	abandoned := n.ledger.Abandon(n.now(), w, id)
+	n.mu.Unlock()
+	if abandoned {
+		return false
+	}
+	return <-settled == ratelimit.Taken // it came at the same moment
+}
+
+// settle passes on the decisions of the ledger and returns its messages. n.mu
+// is held.
+func (n *Node) settle() []ratelimit.Outgoing {
+	for _, s := range n.ledger.Settled() {
+		if c := n.takers[s.Call]; c != nil {
+			delete(n.takers, s.Call)
+			c <- s.Result
+		}
+	}
+	return n.ledger.Outgoing()
+}
+
+func (n *Node) sendTokens(out []ratelimit.Outgoing) {
+	for _, o := range out {
+		n.control.Send(o.To, mesh.Envelope{From: n.cfg.Self.Node, To: o.To.Node, Message: o.Message})
+	}
+}
+
+// refreshLedger tells the ledger of the fleet, and the peers of this node's
+// demand. n.mu is held.
+func (n *Node) refreshLedger(now time.Duration) {
+	if now-n.fleetAt < fleetEvery || !n.roster.Synced() {
+		return
+	}
+	n.fleetAt = now
+	var fleet []ratelimit.Node
+	n.roster.Each(now, func(rec *roster.Record, silent time.Duration) {
+		if !rec.Left {
+			fleet = append(fleet, ratelimit.Node{Member: rec.Member, Silent: silent, Demand: rec.Demand})
+		}
+	})
+	n.ledger.SetFleet(now, fleet)
+	if now < reportsDemandAfter {
+		return
+	}
+	demand := n.ledger.Demand(now)
+	if differs(n.roster.Self().Demand, demand) {
+		n.roster.Update(false, func(r *roster.Record) { r.Demand = demand })
+	}
+}
+
+// differs reports whether a demand has changed enough to be told.
+func differs(old, current map[mesh.Workspace]float64) bool {
+	if old == nil {
+		return true
+	}
+	for w, d := range current {
+		if changed(old[w], d) {
+			return true
+		}
+	}
+	for w, d := range old {
+		if _, ok := current[w]; !ok && changed(d, 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func changed(a, b float64) bool {
+	return math.Abs(a-b) > max(demandStep, demandChange*max(a, b))
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -5,15 +5,15 @@
 // inside the upstream would use a slot and a connection for work that nobody
 // waits for any more. Requests wait at the node instead, in a short queue.
 // Calls of requests that already run come before new requests, since refusing
-// them wastes the work above; then classes in their order, then arrival. A
+// them wastes the work above; then levels in their order, then arrival. A
 // request starts only if it can still be answered in time.
 package slots
 
 import (
 	"time"
 
-	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/pressure"
 )
 
 const (
@@ -25,7 +25,7 @@
 	minLimit     = 2
 	latencyGain  = 0.1
 	startShare   = 0.5 // part of the usual latency that must be left to start
-	numLevels    = 1 + mesh.NumClasses
+	numLevels    = 2 * pressure.NumLevels
 	lowerFactor  = 0.9 // of the requests in flight when the upstream refused one
 	maxQueueLoad = 4   // queued requests per slot
 )
@@ -33,7 +33,7 @@
 // Work is one request at the upstream.
 type Work struct {
 	ID       uint64
-	Class    mesh.Class
+	Level    pressure.Level
 	Inner    bool          // a call of a request that already runs
 	Start    time.Duration // latest start; it is refused afterwards
 	Deadline time.Duration
@@ -115,10 +115,11 @@
 func (g *Gate) Latency() time.Duration { return time.Duration(g.latency) }
 
 func level(w Work) int {
+	l := int(min(w.Level, pressure.NumLevels-1))
 	if w.Inner {
-		return 0
+		return l
 	}
-	return 1 + int(min(w.Class, mesh.NumClasses-1))
+	return pressure.NumLevels + l
 }
 
 // Arrive decides on a request.
@@ -167,8 +168,12 @@
 }
 
 // Shed records that the upstream refused a request for load although the gate
-// let it run.
+// let it run. An upstream that states its slots and has some free refuses for
+// another reason, and a lower limit would only refuse more.
 func (g *Gate) Shed(now time.Duration) {
+	if g.slots > 0 && g.running <= g.slots {
+		return
+	}
 	g.limit = max(minLimit, min(g.limit, lowerFactor*float64(g.running)))
 	g.grown = now
 }
