Place requests by the target of their route

Change: routing.PickFor weighs the expected part of the target against the price of traffic between data centres; it follows reported load and what was sent since. Idle connections between nodes are closed after 4 s. Refused callers over their rate come back in time for their target.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -49,6 +49,8 @@
 	// place.
 	silentHolder = 10 * time.Second
 	unit         = 1.0 // tokens per request
+	// leastShareRate stands for the rate of a node that only borrows.
+	leastShareRate = 0.1
 )
 
 // Limit is the limit of a workspace over all nodes. Zero means none.
@@ -436,15 +438,14 @@
 	}
 }
 
-// RetryAfter returns when a refused request of the workspace can be expected to
-// be within the rate: what already waits for tokens comes first.
-func (l *Ledger) RetryAfter(w mesh.Workspace) time.Duration {
+// Excess returns the demand of the workspace at this node as a multiple of the
+// node's part of the rate.
+func (l *Ledger) Excess(w mesh.Workspace) float64 {
 	a := l.accounts[w]
-	if a == nil || a.limit.RatePerSecond <= 0 {
+	if a == nil {
 		return 0
 	}
-	excess := a.demand / max(a.share*a.limit.RatePerSecond, 0.1)
-	return time.Duration(min(max(excess, 0.3), 2) * float64(time.Second))
+	return a.demand / max(a.share*a.limit.RatePerSecond, leastShareRate)
 }
 
 // Demand returns the requests per second of each workspace at this node.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -36,6 +36,8 @@
 	Latency time.Duration
 	Result  Result
 	Report  Report
+	Route   string // of the request; empty: only the node's own latency is learned
+	Bytes   int64  // of request and answer
 }
 
 // Config holds the parameters of a table. Zero fields take defaults.
@@ -45,16 +47,11 @@
 	Self       mesh.NodeID   // ranks the candidates, so that nodes use different subsets
 	SubsetSize int           // candidates of one service
 	Ramp       time.Duration // time in which a new upstream reaches its full part
-	// RemoteFactor is how much longer an answer of the own data centre may take
-	// before another one is preferred. It follows from the price of traffic
-	// between data centres.
-	RemoteFactor float64
 }
 
 const (
 	defaultSubset = 20
 	defaultRamp   = 5 * time.Second
-	defaultRemote = 1.25
 )
 
 func (c Config) withDefaults() Config {
@@ -64,8 +61,5 @@
 	if c.Ramp == 0 {
 		c.Ramp = defaultRamp
 	}
-	if c.RemoteFactor == 0 {
-		c.RemoteFactor = defaultRemote
-	}
 	return c
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -20,8 +20,9 @@
 	maxSuspension   = 8 * time.Second
 	reportLife      = time.Second
 	maxReportFactor = 4.0
-	busyReport      = 0.8 // reported load from which a report counts
-	reportSlope     = 4.0 // a full node costs 1.8 times as much, which outweighs the default RemoteFactor
+	busyReport      = 0.8  // reported load from which a report counts
+	reportSlope     = 4.0  // a full node costs 1.8 times as much, which outweighs remoteFactor
+	remoteFactor    = 1.25 // preference for the own data centre
 	minRampShare    = 0.05
 )
 
@@ -42,6 +43,9 @@
 	notServing bool          // it refused because it takes no work
 	report     float64       // factor from the last report, at least 1
 	reportAt   time.Duration
+	last       Report  // the last report
+	sentAt     int     // attempts under way when it came
+	speed      float64 // latency of answers, of what is usual for their routes; zero: not known
 }
 
 // ended takes a sample into the score.
@@ -107,6 +111,7 @@
 	load := float64(r.InFlight+r.Queued) / float64(r.Limit)
 	n.report = min(1+reportSlope*max(load-busyReport, 0), maxReportFactor)
 	n.reportAt = now
+	n.last, n.sentAt = r, n.sent
 }
 
 func (n *node) decayed(now time.Duration) float64 {
@@ -127,7 +132,7 @@
 
 // cost is the expected time of another attempt, in arbitrary units; lower is
 // better.
-func (n *node) cost(now time.Duration, typical, remoteFactor float64) float64 {
+func (n *node) cost(now time.Duration, typical float64) float64 {
 	latency := n.latency
 	if latency == 0 {
 		latency = typical
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,7 @@
 	random   uint64
 	nodes    map[mesh.NodeID]*node
 	services map[mesh.Service]*service
+	routes   map[string]*route
 }
 
 // service is the candidate subset of one service, those of the own data centre
@@ -35,6 +36,7 @@
 		random:   cfg.Seed,
 		nodes:    map[mesh.NodeID]*node{},
 		services: map[mesh.Service]*service{},
+		routes:   map[string]*route{},
 	}
 }
 
@@ -128,7 +130,7 @@
 		return t.lastResort(now, s, exclude).member, outcome.None
 	case first == nil:
 		return second.member, outcome.None
-	case second == nil, first.cost(now, typical, t.cfg.RemoteFactor) <= second.cost(now, typical, t.cfg.RemoteFactor):
+	case second == nil, first.cost(now, typical) <= second.cost(now, typical):
 		return first.member, outcome.None
 	}
 	return second.member, outcome.None
@@ -201,6 +203,9 @@
 		return
 	}
 	n.ended(now, sample)
+	if sample.Result == OK && sample.Route != "" {
+		t.learn(n, sample)
+	}
 	if sample.Result == OK {
 		if s := t.services[n.member.Service]; s != nil {
 			if s.latency == 0 {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -108,13 +108,14 @@
 	if a.answer != nil || a.refusal.Execution != outcome.NotRun || a.refusal.Reason == outcome.UpstreamShed {
 		c.attempts++
 	}
-	sample := routing.Sample{Latency: n.now() - a.began}
+	sample := routing.Sample{Latency: n.now() - a.began, Route: c.route.Name, Bytes: int64(len(c.body))}
 	if a.known {
 		sample.Report = a.report.Load
 	}
 	switch {
 	case a.answer != nil && a.answer.StatusCode < http.StatusInternalServerError:
 		sample.Result = routing.OK
+		sample.Bytes += max(a.answer.ContentLength, 0)
 	case a.answer != nil:
 		sample.Result = routing.Failed
 	default:
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -16,6 +16,7 @@
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/pressure"
+	"cardamomhatch/internal/routing"
 )
 
 const (
@@ -33,6 +34,9 @@
 	// lastAnswerGrace is subtracted from a route's timeout: an answer of this node
 	// still reaches the caller in time.
 	timeoutMargin = 20 * time.Millisecond
+	// maxExcessDelay bounds how much later callers of a workspace far above its
+	// rate come back.
+	maxExcessDelay = 3.0
 )
 
 // call is one request of a caller at its entry node.
@@ -148,10 +152,11 @@
 		c.charged = true
 		return outcome.Refusal{}, true
 	}
-	refusal := n.refusal(outcome.NotRun, outcome.OverRate, "")
 	n.mu.Lock()
-	refusal.RetryAfter = n.ledger.RetryAfter(c.workspace.Name)
+	excess := n.ledger.Excess(c.workspace.Name)
 	n.mu.Unlock()
+	refusal := n.refusal(outcome.NotRun, outcome.OverRate, "demand of "+strconv.FormatFloat(excess, 'f', 2, 64)+" times the rate")
+	refusal.RetryAfter = time.Duration(min(max(excess/2, 1), maxExcessDelay) * float64(c.returnAfter()))
 	return refusal, false
 }
 
@@ -229,7 +234,13 @@
 	if len(c.tried) > 0 {
 		exclude = c.tried[len(c.tried)-1]
 	}
-	m, reason := n.table.Pick(n.now(), c.service, mesh.ClassNormal, exclude)
+	class := mesh.ClassNormal
+	if !c.route.Idempotent {
+		class = mesh.ClassCritical
+	}
+	m, reason := n.table.PickFor(n.now(), routing.Request{
+		Service: c.service, Route: c.route.Name, Target: c.route.Target, Class: class, Exclude: exclude,
+	})
 	if reason != outcome.None {
 		return mesh.Member{}, false
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -28,13 +28,13 @@
 
 const (
 	dialTimeout       = 500 * time.Millisecond // to a peer or the upstream
-	peerIdle          = 20 * time.Second
-	upstreamIdle      = 60 * time.Second // an upstream states its own limit, mostly
-	callerIdle        = 75 * time.Second // above the idle time that a platform grants callers
+	peerIdle          = 4 * time.Second        // memory is priced by its peak, a connection between nodes is not
+	upstreamIdle      = 60 * time.Second       // an upstream states its own limit, mostly
+	callerIdle        = 75 * time.Second       // above the idle time that a platform grants callers
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
 	tickEvery         = 50 * time.Millisecond
-	remoteFactor      = 4 // how much longer an answer of this data centre may take
+	trimEvery         = time.Second // how often idle connections are looked through
 )
 
 // Node is one running node.
@@ -90,7 +90,7 @@
 		gate:    slots.New(),
 		waiters: map[uint64]chan slots.Step{},
 		table: routing.New(routing.Config{
-			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node, RemoteFactor: remoteFactor,
+			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node,
 		}),
 		budgets: map[mesh.Service]*retry.Budget{},
 		ledger:  ratelimit.New(cfg.Self, cfg.Bounds.Quota, cfg.Seed),
@@ -129,6 +129,7 @@
 	n.loop(n.followDeclaration)
 	n.loop(n.publish)
 	n.loop(n.probe)
+	n.loop(n.trim)
 	n.cfg.Log.Write(eventlog.Lifecycle, "started", "host", n.cfg.Self.Node.Host, "incarnation", uint64(n.cfg.Self.Node.Incarnation),
 		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service)
 }
@@ -208,6 +209,21 @@
 	}
 }
 
+// trim closes connections that have been idle for too long.
+func (n *Node) trim() {
+	for n.pause(trimEvery) {
+		n.mu.Lock()
+		pools := make([]*exchange.Pool, 0, len(n.pools)+1)
+		for _, p := range n.pools {
+			pools = append(pools, p)
+		}
+		n.mu.Unlock()
+		for _, p := range append(pools, n.local) {
+			p.Trim()
+		}
+	}
+}
+
 // send hands control messages to the peers.
 func (n *Node) send(out []roster.Outgoing) {
 	for _, o := range out {
