Split limits by the demand that all nodes know, and test the cores

Cause, found by TestHotWorkspace: each node used its own fresh demand and the others' old one, so the shares added up to several times the limit while the demand rose. TestDeclarationSpreads: the notice of a new declaration did not name its sender, so nobody could ask for it. Change: the share follows the demand that was told before; one lender is asked at a time and lends whole tokens; the notice names its sender.

--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,93 @@
+package catalog
+
+import (
+	"testing"
+
+	"cardamomhatch/internal/mesh"
+)
+
+func declaration() Declaration {
+	part := func(s string, w float64) Part { return Part{Service: mesh.Service(s), Weight: w} }
+	return Declaration{
+		Version: 7,
+		Routes: []Route{
+			{Name: "all", Host: "shop.example", Prefix: "/", Parts: []Part{part("web", 1)}},
+			{Name: "orders", Host: "shop.example", Prefix: "/orders/", Parts: []Part{part("orders", 90), part("web", 10)}},
+		},
+		Services:   []Service{{Name: "web"}, {Name: "orders"}},
+		Workspaces: []Workspace{{Name: "a", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+// A request must not reach the service of a shorter prefix or of another host.
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	c, err := New(declaration())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range []struct{ host, path, want string }{
+		{"shop.example", "/orders/1", "orders"},
+		{"SHOP.example:8080", "/orders/", "orders"},
+		{"shop.example", "/orders", "all"},
+		{"shop.example", "/x", "all"},
+		{"other.example", "/orders/1", ""},
+	} {
+		got := ""
+		if r := c.Route(one.host, one.path); r != nil {
+			got = r.Name
+		}
+		if got != one.want {
+			t.Errorf("route of %s%s is %q, want %q", one.host, one.path, got, one.want)
+		}
+	}
+	if w := c.Key("k2"); w == nil || w.Name != "a" {
+		t.Errorf("key k2 belongs to %v, want a", w)
+	}
+	if w := c.Key("k3"); w != nil {
+		t.Errorf("unknown key belongs to %v", w)
+	}
+}
+
+// A declaration that could not be carried between nodes must be refused whole.
+func TestDeclarationIsChecked(t *testing.T) {
+	for name, spoil := range map[string]func(*Declaration){
+		"prefix without slash": func(d *Declaration) { d.Routes[0].Prefix = "/x" },
+		"no service":           func(d *Declaration) { d.Routes[0].Parts = nil },
+		"negative weight":      func(d *Declaration) { d.Routes[1].Parts[0].Weight = -1 },
+		"separator in route":   func(d *Declaration) { d.Routes[0].Name = "a;b" },
+		"separator in service": func(d *Declaration) { d.Routes[0].Parts[0].Service = "a\r\nb" },
+		"separator in key's workspace": func(d *Declaration) {
+			d.Workspaces[0].Name = "a;b"
+		},
+	} {
+		d := declaration()
+		spoil(&d)
+		if _, err := New(d); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// A random choice strays from the weights in a short run; operators compare the
+// shares over a few hundred requests.
+func TestSplitFollowsWeightsInShortRuns(t *testing.T) {
+	c, err := New(declaration())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := c.Route("shop.example", "/orders/1")
+	var s Splitter
+	count := map[mesh.Service]int{}
+	for i := 1; i <= 40; i++ {
+		count[s.Pick(r)]++
+		if web := count["web"]; web < i/10 || web > i/10+1 {
+			t.Fatalf("after %d requests %d went to web, want about a tenth", i, web)
+		}
+	}
+	r.Parts = []Part{{Service: "orders", Weight: 0}, {Service: "web", Weight: 1}}
+	for range 5 {
+		if got := s.Pick(r); got != "web" {
+			t.Fatalf("a part without weight got a request: %s", got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pressure/pressure_test.go
@@ -0,0 +1,204 @@
+package pressure
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// chain is a small model of the load pattern: requests of three levels pass an
+// entry, work at the first service, and then call a deep service that has too few
+// slots. Calls that find no place in its queue fail their request. Time is virtual.
+type chain struct {
+	random *rand.Rand
+	meter  *Meter
+	view   *View
+	slots  int
+	busy   int
+	now    time.Duration
+	queue  []func()           // calls that wait for a slot
+	events map[int64][]func() // by millisecond
+	served [3]int
+	asked  [3]int
+	failed [3]int
+}
+
+const (
+	deepWork  = 55 * time.Millisecond
+	firstWork = 200 * time.Millisecond
+	// queueLimit is the number of calls that find no slot for about 200 ms.
+	queueLimit = 180
+)
+
+var target = Target{Service: "web", Route: "page"}
+
+func newChain(slots int) *chain {
+	return &chain{
+		random: rand.New(rand.NewPCG(1, 2)), meter: NewMeter(), view: NewView(), slots: slots, events: map[int64][]func(){},
+	}
+}
+
+func (c *chain) at(d time.Duration, f func()) {
+	ms := (c.now + d).Milliseconds()
+	c.events[ms] = append(c.events[ms], f)
+}
+
+// arrive is one request of a level; it makes four calls to the deep service.
+func (c *chain) arrive(level int, cuts bool) {
+	c.asked[level]++
+	cut := Open
+	if cuts {
+		cut = c.view.Cut(c.now, target)
+	}
+	if !cut.Admits(Level(level), c.random.Float64()) {
+		return
+	}
+	weight := 1 / cut.Share(Level(level))
+	c.at(firstWork, func() { c.call(level, weight, 4) })
+}
+
+func (c *chain) call(level int, weight float64, left int) {
+	if left == 0 {
+		c.served[level]++
+		return
+	}
+	c.meter.Arrived(c.now, Level(level), true, weight)
+	defer func() { c.view.Heard(c.now, target, c.meter.Cut(c.now, float64(c.slots))) }()
+	if len(c.queue) >= queueLimit {
+		c.failed[level]++
+		return
+	}
+	c.queue = append(c.queue, func() {
+		c.busy++
+		c.at(deepWork, func() {
+			c.busy--
+			c.meter.Worked(Level(level), true, deepWork)
+			c.call(level, weight, left-1)
+			c.start()
+		})
+	})
+	c.start()
+}
+
+// start runs what waits while there are slots.
+func (c *chain) start() {
+	for c.busy < c.slots && len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		next()
+	}
+}
+
+// run plays the rates, in requests a second by level.
+func (c *chain) run(length time.Duration, rates [3]float64, cuts bool) {
+	for end := c.now + length; c.now < end; c.now += time.Millisecond {
+		for level, rate := range rates {
+			for p := rate / 1000; c.random.Float64() < p; p-- {
+				c.arrive(level, cuts)
+			}
+		}
+		ms := c.now.Milliseconds()
+		for len(c.events[ms]) > 0 {
+			f := c.events[ms][0]
+			c.events[ms] = c.events[ms][1:]
+			f()
+		}
+		delete(c.events, ms)
+	}
+}
+
+// Without a cut, a deep service short by half serves far less than half of the
+// requests, since each makes several calls; and it serves the least important as
+// often as the most important.
+func TestDeepOverload(t *testing.T) {
+	rates := [3]float64{100, 80, 200} // 380 x 4 x 55 ms: 84 slots
+	play := func(cuts bool) *chain {
+		c := newChain(50)
+		c.run(2*time.Second, rates, cuts)
+		c.served, c.asked, c.failed = [3]int{}, [3]int{}, [3]int{}
+		c.run(20*time.Second, rates, cuts)
+		return c
+	}
+	share := func(c *chain, level int) float64 { return float64(c.served[level]) / float64(c.asked[level]) }
+	without, with := play(false), play(true)
+	t.Logf("served by level without a cut %.3f %.3f %.3f, with it %.3f %.3f %.3f, failed after admission %v",
+		share(without, 0), share(without, 1), share(without, 2), share(with, 0), share(with, 1), share(with, 2), with.failed)
+	if share(without, 0) > 0.9 {
+		t.Fatal("the model is not overloaded")
+	}
+	for level := range 2 {
+		if share(with, level) < 0.95 {
+			t.Errorf("level %d is served to %.3f, want 0.95 of it: these levels alone fit", level, share(with, level))
+		}
+	}
+	// 50 slots serve 227 requests a second; the aim leaves 5 %.
+	best := (50/0.22 - 180) / 200
+	if got := share(with, 2); got < 0.75*best || got > 1.1*best {
+		t.Errorf("level 2 is served to %.3f, want about %.3f", got, best)
+	}
+}
+
+// A cut that was closed by a burst must open when the burst ends, within two
+// seconds, and must not close again.
+func TestCutOpensAfterTheBurst(t *testing.T) {
+	c := newChain(50)
+	c.run(8*time.Second, [3]float64{100, 80, 200}, true)
+	c.run(2*time.Second, [3]float64{50, 40, 60}, true)
+	c.served, c.asked = [3]int{}, [3]int{}
+	c.run(5*time.Second, [3]float64{50, 40, 60}, true)
+	for level := range 3 {
+		if got := float64(c.served[level]) / float64(c.asked[level]); got < 0.97 {
+			t.Errorf("level %d is served to %.3f after the burst, want 0.97", level, got)
+		}
+	}
+}
+
+// The estimate must not depend on the cut, or the cut would oscillate: the first
+// version measured what was left of the load and served 0.14 of the requests.
+func TestDemandDoesNotDependOnTheCut(t *testing.T) {
+	c := newChain(50)
+	c.run(3*time.Second, [3]float64{100, 80, 200}, true)
+	want := 380 * 4 * deepWork.Seconds()
+	for range 20 {
+		c.run(500*time.Millisecond, [3]float64{100, 80, 200}, true)
+		if got := c.meter.Demand(); math.Abs(got-want) > 0.35*want {
+			t.Errorf("demand is estimated at %.1f slots, want about %.1f", got, want)
+		}
+	}
+}
+
+// The cut of a service that a route's requests do not call must not refuse them,
+// and the tightest cut of those that they do call counts.
+func TestBelowFollowsThePath(t *testing.T) {
+	v := NewView()
+	stock, media := Target{"stock", "feed"}, Target{"media", "index"}
+	for range 200 {
+		v.Heard(0, stock, 2)
+		v.Heard(0, media, 5)
+	}
+	if got := v.Below(0, "page"); got != Open {
+		t.Fatalf("cut of a route without known calls is %v", got)
+	}
+	for range 100 {
+		v.Served("page", map[Target]int{media: 1})
+	}
+	if got := v.Below(0, "page"); math.Abs(float64(got-5)) > 0.1 {
+		t.Errorf("cut below is %v, want 5", got)
+	}
+	for range 100 {
+		v.Served("page", map[Target]int{media: 1, stock: 4})
+	}
+	if got := v.Below(0, "page"); math.Abs(float64(got-2)) > 0.1 {
+		t.Errorf("cut below is %v, want 2", got)
+	}
+	for range 300 {
+		v.Served("page", map[Target]int{media: 1})
+	}
+	if got := v.Below(0, "page"); math.Abs(float64(got-5)) > 0.1 {
+		t.Errorf("cut below is %v after the calls ended, want 5", got)
+	}
+	if got := v.Cut(20*time.Second, media); got != Open {
+		t.Errorf("a cut that nobody confirmed for 20 s is still %v", got)
+	}
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -13,6 +13,7 @@
 package ratelimit
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -41,7 +42,7 @@
 	unknownFleet = 64
 	// WaitLimit bounds how long a request waits for borrowed tokens.
 	WaitLimit   = 40 * time.Millisecond
-	lenders     = 2                      // asked at once
+	maxAsked    = 3                      // lenders asked for one request
 	dryPause    = 150 * time.Millisecond // no asking after nobody had tokens
 	borrowAhead = 100 * time.Millisecond // of demand that is borrowed in advance
 	maxBorrow   = 16
@@ -147,11 +148,14 @@
 	at       time.Duration
 	lenders  []mesh.Member
 	demand   float64 // arrivals per second
+	told     float64 // demand that the other nodes know of
 	arrivals int     // in the current slot
 	slot     time.Duration
 	waiting  []uint64
 	round    uint64
-	open     int // answers of the round that are missing
+	next     int  // lender asked last
+	open     bool // the answer of the round is missing
+	tries    int  // lenders asked since the last one that had tokens
 	asked    time.Duration
 	dry      time.Duration // nobody has tokens before
 }
@@ -194,8 +198,13 @@
 }
 
 // SetFleet replaces what is known of the other nodes and splits the limits anew.
-func (l *Ledger) SetFleet(now time.Duration, fleet []Node) {
+// told is the node's own demand as the others know it by now: with a fresher one,
+// each node would take more than its part while the demand rises everywhere.
+func (l *Ledger) SetFleet(now time.Duration, told map[mesh.Workspace]float64, fleet []Node) {
 	l.fleet, l.known = fleet, true
+	for w, a := range l.accounts {
+		a.told = told[w]
+	}
 	slices.SortFunc(l.fleet, func(a, b Node) int { return compare(string(a.Member.Node.Host), string(b.Member.Node.Host)) })
 	for _, a := range l.accounts {
 		a.accrue(now)
@@ -232,8 +241,7 @@
 		l.splitAmongHolders(a, holders, pool)
 		return
 	}
-	a.count(now, 0)
-	total, own := 0.0, a.demand
+	total, own := 0.0, a.told
 	for _, n := range l.fleet {
 		if n.Demand == nil {
 			total += own
@@ -340,18 +348,21 @@
 
 // ask starts a round unless one is under way.
 func (l *Ledger) ask(now time.Duration, a *account) {
-	if a.open > 0 && now-a.asked < WaitLimit {
+	if a.open && now-a.asked < WaitLimit {
 		return
 	}
-	a.round++
-	a.asked = now
-	a.open = min(lenders, len(a.lenders))
-	amount := min(float64(len(a.waiting))+a.demand*borrowAhead.Seconds(), maxBorrow) / float64(a.open)
-	first := l.random.IntN(len(a.lenders))
-	for i := range a.open {
-		to := a.lenders[(first+i*max(len(a.lenders)/lenders, 1))%len(a.lenders)]
-		l.outgoing = append(l.outgoing, Outgoing{to, Ask{From: l.self, Workspace: a.limit.Workspace, Amount: amount, Round: a.round}})
+	if !a.open {
+		a.next = l.random.IntN(len(a.lenders))
+		a.tries = 0
 	}
+	a.tries++
+	a.next = (a.next + 1) % len(a.lenders)
+	a.round++
+	a.asked, a.open = now, true
+	l.outgoing = append(l.outgoing, Outgoing{a.lenders[a.next], Ask{
+		From: l.self, Workspace: a.limit.Workspace, Round: a.round,
+		Amount: min(math.Ceil(float64(len(a.waiting))+a.demand*borrowAhead.Seconds()), maxBorrow),
+	}})
 }
 
 // Deliver takes a message of another node. It reports whether the message
@@ -374,7 +385,7 @@
 		a.count(now, 0)
 		a.accrue(now)
 		spare := a.level - a.demand*borrowAhead.Seconds()
-		amount = max(min(m.Amount, spare), 0)
+		amount = math.Floor(max(min(m.Amount, spare), 0)) // a part of a token would lie idle there
 		a.level -= amount
 	}
 	l.outgoing = append(l.outgoing, Outgoing{m.From, Grant{Workspace: m.Workspace, Amount: amount, Round: m.Round}})
@@ -387,25 +398,27 @@
 	}
 	a.accrue(now)
 	a.level += m.Amount
-	if m.Round == a.round {
-		a.open--
-	}
 	for len(a.waiting) > 0 && a.level >= unit {
 		a.level -= unit
 		l.settled = append(l.settled, Settled{a.waiting[0], Taken})
 		a.waiting = a.waiting[1:]
 	}
-	if a.open > 0 || len(a.waiting) == 0 {
-		return
+	if m.Round != a.round {
+		return // an answer to an earlier question; the last one is still to come
 	}
 	if m.Amount > 0 {
+		a.tries = 0
+	}
+	if len(a.waiting) > 0 && a.tries < min(maxAsked, len(a.lenders)) {
+		a.asked = now - WaitLimit // the question was answered
 		l.ask(now, a)
-		if a.open > 0 {
-			return
-		}
+		return
+	}
+	a.open = false
+	if len(a.waiting) > 0 {
+		a.dry = now + dryPause
+		l.settleAll(a, OverRate)
 	}
-	a.dry = now + dryPause
-	l.settleAll(a, OverRate)
 }
 
 func (l *Ledger) settleAll(a *account, r Result) {
--- /dev/null
+++ b/internal/ratelimit/ratelimit_test.go
@@ -0,0 +1,282 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+const (
+	delay  = 3 * time.Millisecond // of a message
+	step   = time.Millisecond
+	gossip = 2 * time.Second // until a demand is known everywhere
+)
+
+var tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// fleet is a number of ledgers that exchange messages, in virtual time.
+type fleet struct {
+	random   *rand.Rand
+	now      time.Duration
+	members  []mesh.Member
+	ledgers  []*Ledger
+	cut      []bool // cut off from the others
+	inbox    map[int64][]letter
+	pending  map[uint64]pending
+	nextID   uint64
+	admitted map[mesh.Workspace][]time.Duration
+	asked    map[mesh.Workspace]int
+	refused  map[mesh.Workspace]int
+	demands  []map[mesh.Workspace]float64 // as the others know them
+}
+
+type letter struct {
+	to      int
+	message mesh.Message
+}
+
+type pending struct {
+	workspace mesh.Workspace
+	node      int
+	until     time.Duration
+}
+
+func newFleet(nodes int, limits []Limit, seed uint64) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 9)), inbox: map[int64][]letter{}, pending: map[uint64]pending{},
+		admitted: map[mesh.Workspace][]time.Duration{}, asked: map[mesh.Workspace]int{}, refused: map[mesh.Workspace]int{},
+		cut: make([]bool, nodes), demands: make([]map[mesh.Workspace]float64, nodes),
+	}
+	for i := range nodes {
+		m := mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprintf("host-%02d", i)), Incarnation: 1}, PeerAddress: fmt.Sprint(i)}
+		f.members = append(f.members, m)
+		f.ledgers = append(f.ledgers, New(m, tolerance, seed+uint64(i)))
+	}
+	for i := range f.ledgers {
+		f.tellFleet(i)
+		f.ledgers[i].SetLimits(0, limits)
+	}
+	return f
+}
+
+func (f *fleet) tellFleet(i int) {
+	var others []Node
+	for j, m := range f.members {
+		if j != i {
+			others = append(others, Node{Member: m, Demand: f.demands[j]})
+		}
+	}
+	f.ledgers[i].SetFleet(f.now, f.demands[i], others)
+}
+
+func (f *fleet) arrive(node int, w mesh.Workspace) {
+	f.nextID++
+	f.asked[w]++
+	switch f.ledgers[node].Take(f.now, w, f.nextID) {
+	case Taken:
+		f.admitted[w] = append(f.admitted[w], f.now)
+	case OverRate:
+		f.refused[w]++
+	case Waiting:
+		f.pending[f.nextID] = pending{w, node, f.now + WaitLimit}
+	}
+}
+
+func (f *fleet) settle(i int) {
+	for _, s := range f.ledgers[i].Settled() {
+		p := f.pending[s.Call]
+		delete(f.pending, s.Call)
+		if s.Result == Taken {
+			f.admitted[p.workspace] = append(f.admitted[p.workspace], f.now)
+		} else {
+			f.refused[p.workspace]++
+		}
+	}
+	for _, o := range f.ledgers[i].Outgoing() {
+		var to int
+		fmt.Sscan(o.To.PeerAddress, &to)
+		if f.cut[i] != f.cut[to] {
+			continue
+		}
+		ms := (f.now + delay).Milliseconds()
+		f.inbox[ms] = append(f.inbox[ms], letter{to, o.Message})
+	}
+}
+
+// run plays rates, in requests a second by workspace over all nodes. skew is the
+// part that arrives at the first node.
+func (f *fleet) run(length time.Duration, rates map[mesh.Workspace]float64, skew float64) {
+	for end := f.now + length; f.now < end; f.now += step {
+		for w, rate := range rates {
+			for p := rate * step.Seconds(); f.random.Float64() < p; p-- {
+				node := 0
+				if f.random.Float64() >= skew {
+					node = f.random.IntN(len(f.ledgers))
+				}
+				f.arrive(node, w)
+			}
+		}
+		ms := f.now.Milliseconds()
+		for _, l := range f.inbox[ms] {
+			f.ledgers[l.to].Deliver(f.now, l.message)
+		}
+		delete(f.inbox, ms)
+		for id, p := range f.pending {
+			if f.now >= p.until && f.ledgers[p.node].Abandon(f.now, p.workspace, id) {
+				delete(f.pending, id)
+				f.refused[p.workspace]++
+			}
+		}
+		for i := range f.ledgers {
+			f.settle(i)
+		}
+		if ms%gossip.Milliseconds() == 0 {
+			for i, l := range f.ledgers {
+				if !f.cut[i] {
+					f.demands[i] = l.Demand(f.now)
+				}
+			}
+		}
+		if ms%500 == 0 {
+			for i := range f.ledgers {
+				f.tellFleet(i)
+			}
+		}
+	}
+}
+
+// checkWindows fails if more than the operator tolerates was admitted in any
+// window.
+func (f *fleet) checkWindows(t *testing.T, l Limit) {
+	t.Helper()
+	allowed := (l.RatePerSecond*tolerance.Window.Seconds()+l.Burst)*(1+tolerance.Overage) + tolerance.Slack
+	times := f.admitted[l.Workspace]
+	first := 0
+	for i, at := range times {
+		for at-times[first] >= tolerance.Window {
+			first++
+		}
+		if n := float64(i - first + 1); n > allowed {
+			t.Fatalf("%s: %.0f admitted in the window that ends at %s, allowed %.0f", l.Workspace, n, at, allowed)
+		}
+	}
+}
+
+var limits = []Limit{{"large", 140, 140}, {"middle", 30, 30}, {"small", 8, 8}}
+
+func within(factor float64) map[mesh.Workspace]float64 {
+	out := map[mesh.Workspace]float64{}
+	for _, l := range limits {
+		out[l.Workspace] = factor * l.RatePerSecond
+	}
+	return out
+}
+
+// One workspace suddenly sends seven times its rate at all nodes; the others
+// stay within theirs. Without shares, every node would admit the whole rate.
+func TestHotWorkspace(t *testing.T) {
+	for _, nodes := range []int{4, 15, 62} {
+		for _, hot := range limits {
+			t.Run(fmt.Sprintf("%s/%d", hot.Workspace, nodes), func(t *testing.T) {
+				f := newFleet(nodes, limits, 1)
+				f.run(6*time.Second, within(0.62), 0)
+				rates := within(0.62)
+				rates[hot.Workspace] = 7.5 * 0.62 * hot.RatePerSecond
+				f.run(8*time.Second, rates, 0)
+				f.run(4*time.Second, within(0.62), 0)
+				for _, l := range limits {
+					f.checkWindows(t, l)
+				}
+				// At least nine tenths of what the limit allows in the hot time.
+				got := 0
+				for _, at := range f.admitted[hot.Workspace] {
+					if at >= 7*time.Second && at < 14*time.Second {
+						got++
+					}
+				}
+				if want := 0.9 * 7 * hot.RatePerSecond; float64(got) < want {
+					t.Errorf("%d admitted in the hot time, want at least %.0f", got, want)
+				}
+			})
+		}
+	}
+}
+
+// What is within a workspace's rate must not be refused because the tokens lie
+// at other nodes, however unevenly requests arrive.
+func TestWithinTheRate(t *testing.T) {
+	for _, nodes := range []int{4, 15, 62} {
+		for _, skew := range []float64{0, 0.6} {
+			t.Run(fmt.Sprintf("%d/skew=%v", nodes, skew), func(t *testing.T) {
+				f := newFleet(nodes, limits, 2)
+				f.run(4*time.Second, within(0.62), skew)
+				f.asked, f.refused = map[mesh.Workspace]int{}, map[mesh.Workspace]int{}
+				f.run(20*time.Second, within(0.62), skew)
+				for _, l := range limits {
+					if part := float64(f.refused[l.Workspace]) / float64(f.asked[l.Workspace]); part > 0.01 {
+						t.Errorf("%s: %.3f of the requests within the rate were refused, goal 0.01", l.Workspace, part)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A third of the nodes is cut off while a workspace sends far above its rate:
+// both sides together must stay within the limit.
+func TestPartition(t *testing.T) {
+	for _, hot := range limits {
+		f := newFleet(15, limits, 3)
+		rates := within(0.62)
+		f.run(4*time.Second, rates, 0)
+		for i := range 5 {
+			f.cut[i] = true
+		}
+		rates[hot.Workspace] = 5 * hot.RatePerSecond
+		f.run(9*time.Second, rates, 0)
+		clear(f.cut)
+		f.run(5*time.Second, rates, 0)
+		for _, l := range limits {
+			f.checkWindows(t, l)
+		}
+	}
+}
+
+// A node that has not heard of the fleet yet must not spend the whole limit: all
+// nodes may have restarted at once.
+func TestRestartOfAll(t *testing.T) {
+	f := newFleet(15, limits, 4)
+	rates := map[mesh.Workspace]float64{"large": 700, "middle": 150, "small": 40}
+	f.run(6*time.Second, rates, 0)
+	for i, m := range f.members {
+		f.ledgers[i] = New(m, tolerance, uint64(100+i))
+		f.ledgers[i].SetLimits(f.now, limits)
+		f.demands[i] = nil
+	}
+	f.run(6*time.Second, rates, 0)
+	for _, l := range limits {
+		f.checkWindows(t, l)
+	}
+}
+
+// A token of a request that did not run belongs to the workspace again.
+func TestPut(t *testing.T) {
+	l := New(mesh.Member{}, tolerance, 1)
+	l.SetFleet(0, nil, nil)
+	l.SetLimits(0, []Limit{{"w", 1, 1}})
+	l.Take(time.Minute, "w", 1)
+	n := 0
+	for l.Take(time.Minute, "w", 2) == Taken {
+		n++
+	}
+	l.Put(time.Minute, "w")
+	if l.Take(time.Minute, "w", 3) != Taken {
+		t.Error("the token that was put back is missing")
+	}
+	if l.Take(time.Minute, "other", 4) != Taken {
+		t.Error("a workspace without limit was refused")
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -127,7 +127,7 @@
 		return
 	}
 	r.version = version
-	r.rumour(Digest{Version: version}, "")
+	r.rumour(Digest{From: r.self.Member, Claim: r.self.Claim, Version: version}, "")
 }
 
 // Synced reports whether the node has heard of the rest of the fleet.
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -84,12 +84,13 @@
 			fleet = append(fleet, ratelimit.Node{Member: rec.Member, Silent: silent, Demand: rec.Demand})
 		}
 	})
-	n.ledger.SetFleet(now, fleet)
+	n.ledger.SetFleet(now, n.told, fleet)
 	if now < reportsDemandAfter {
 		return
 	}
 	demand := n.ledger.Demand(now)
-	if differs(n.roster.Self().Demand, demand) {
+	n.told = n.roster.Self().Demand
+	if differs(n.told, demand) {
 		n.roster.Update(false, func(r *roster.Record) { r.Demand = demand })
 	}
 }
