--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,245 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// upstream accepts connections and hands each request to a script, which writes
+// raw bytes.
+func upstream(t *testing.T, script func(n int, c net.Conn, r *http.Request) bool) (address string, accepted *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	accepted = &atomic.Int64{}
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if !script(int(requests.Add(1)), c, r) {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Deadline: time.Now().Add(5 * time.Second),
+		Belongs: func(h http.Header) bool { return h.Get("X-Id") == id },
+	}
+}
+
+func fetch(t *testing.T, p *Pool, r *Request) (string, error) {
+	t.Helper()
+	a, err := p.Do(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// An upstream that answers a request twice must not have its second answer taken
+// for that of the next request.
+func TestSecondAnswerBelongsToNoRequest(t *testing.T) {
+	for name, late := range map[string]bool{"at once": false, "where the next answer is due": true} {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := upstream(t, func(n int, c net.Conn, r *http.Request) bool {
+				id := r.Header.Get("X-Id")
+				if n == 2 && late {
+					io.WriteString(c, answer("1", "again"))
+				}
+				io.WriteString(c, answer(id, "body "+id))
+				if n == 1 && !late {
+					io.WriteString(c, answer(id, "again"))
+				}
+				return true
+			})
+			p := New(Config{Address: address, DialTimeout: time.Second})
+			for _, id := range []string{"1", "2", "3"} {
+				body, err := fetch(t, p, get(id))
+				if err != nil || body != "body "+id {
+					t.Fatalf("request %s got %q, %v", id, body, err)
+				}
+				time.Sleep(20 * time.Millisecond) // until extra bytes have arrived
+			}
+			if got := accepted.Load(); got != 2 {
+				t.Errorf("%d connections, want 2: the one with extra bytes is not used again", got)
+			}
+		})
+	}
+}
+
+// A broken answer must be told from a whole one, also where it has no length.
+func TestBrokenAnswers(t *testing.T) {
+	for name, one := range map[string]struct {
+		raw   string
+		reset bool
+	}{
+		"short body":           {raw: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nabc"},
+		"unfinished chunks":    {raw: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
+		"reset without length": {raw: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc", reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := upstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, one.raw)
+				if one.reset {
+					time.Sleep(20 * time.Millisecond)
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			if body, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), get("1")); err == nil {
+				t.Fatalf("a broken answer counts as whole: %q", body)
+			}
+		})
+	}
+	address, _ := upstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc")
+		return false
+	})
+	if body, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), get("1")); err != nil || body != "abc" {
+		t.Errorf("an answer that ends with its connection got %q, %v", body, err)
+	}
+}
+
+// A request must be repeated only if it is known whether it was sent.
+func TestFailureTellsWhetherTheRequestWasSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String()
+	l.Close()
+	var f *Failure
+	if _, err := fetch(t, New(Config{Address: closed, DialTimeout: time.Second}), get("1")); !errors.As(err, &f) || f.Sent {
+		t.Errorf("no connection: %v", err)
+	}
+	address, _ := upstream(t, func(int, net.Conn, *http.Request) bool { return false })
+	if _, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), get("1")); !errors.As(err, &f) || !f.Sent {
+		t.Errorf("connection closed without an answer: %v", err)
+	}
+	silent, _ := upstream(t, func(int, net.Conn, *http.Request) bool { time.Sleep(time.Second); return false })
+	r := get("1")
+	r.Deadline = time.Now().Add(50 * time.Millisecond)
+	if _, err := fetch(t, New(Config{Address: silent, DialTimeout: time.Second}), r); !errors.As(err, &f) || !f.Timeout || !f.Sent {
+		t.Errorf("no answer until the deadline: %v", err)
+	}
+}
+
+// An upstream may answer a long request before it has read it. Its answer must
+// arrive, and the connection must not carry another request.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	address, accepted := upstream(t, func(n int, c net.Conn, r *http.Request) bool {
+		if n == 1 {
+			io.WriteString(c, answer(r.Header.Get("X-Id"), "too long"))
+			time.Sleep(300 * time.Millisecond)
+			return false
+		}
+		io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+		return true
+	})
+	p := New(Config{Address: address, DialTimeout: time.Second})
+	r := get("1")
+	r.Method, r.Body = "POST", Body{Source: strings.NewReader(strings.Repeat("x", 32<<20)), Length: 32 << 20}
+	if body, err := fetch(t, p, r); err != nil || body != "too long" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if body, err := fetch(t, p, get("2")); err != nil || body != "ok" || accepted.Load() != 2 {
+		t.Fatalf("got %q, %v on connection %d", body, err, accepted.Load())
+	}
+}
+
+// A connection that the other side closed while it was idle must not be used.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address, accepted := upstream(t, func(_ int, c net.Conn, r *http.Request) bool {
+		io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+		return false
+	})
+	p := New(Config{Address: address, DialTimeout: time.Second})
+	for _, id := range []string{"1", "2"} {
+		if _, err := fetch(t, p, get(id)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if accepted.Load() != 2 {
+		t.Errorf("%d connections, want 2", accepted.Load())
+	}
+}
+
+// A request that must not run twice does not use a connection that was idle for
+// longer than it says.
+func TestFresh(t *testing.T) {
+	address, accepted := upstream(t, func(_ int, c net.Conn, r *http.Request) bool {
+		io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+		return true
+	})
+	p := New(Config{Address: address, DialTimeout: time.Second})
+	for i, fresh := range []time.Duration{0, 0, time.Millisecond} {
+		r := get(fmt.Sprint(i))
+		r.Fresh = fresh
+		if _, err := fetch(t, p, r); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if accepted.Load() != 2 {
+		t.Errorf("%d connections, want 2", accepted.Load())
+	}
+}
+
+// When the caller has left, the connection is closed, so that the upstream ends
+// its work.
+func TestCallerLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	address, _ := upstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		c.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	if _, err := New(Config{Address: address, DialTimeout: time.Second}).Do(ctx, get("1")); err == nil {
+		t.Fatal("no error")
+	}
+	select {
+	case <-gone:
+	case <-time.After(2 * time.Second):
+		t.Error("the upstream still waits")
+	}
+}
