Attribute calls of upstreams by learned paths, and queue by level first

Change: pressure.Paths credits each call to the routes that run beside it (expectation maximization); the queue takes levels in order, and calls first within a level.

--- /dev/null
+++ b/internal/pressure/paths.go
@@ -0,0 +1,157 @@
+package pressure
+
+import "time"
+
+const (
+	// decayEvery and decayFactor give the counts a memory of about ten seconds.
+	decayEvery  = time.Second
+	decayFactor = 0.9
+	// priorBusy and priorCalls are what a route counts as having done before
+	// anything is known of it: one call for each second at the upstream.
+	priorBusy  = 0.2
+	priorCalls = 0.2
+	// relevantCalls is the mean number of calls from which a path counts.
+	relevantCalls = 0.05
+	forgotten     = 0.01 // served requests below which a route is dropped
+	maxRoutes     = 4096 // routes whose paths are kept
+)
+
+// Paths learns which services the requests of each route call. A call of the
+// upstream does not say on whose behalf it is made, so it is credited to the
+// routes that have requests at the upstream at that moment, in proportion to
+// their number and to the calls that requests of the route are known to make
+// while they run. Routes that make no calls lose their credit over time, because
+// calls come also while none of their requests is there (expectation
+// maximization on a sliding count). Paths is not safe for concurrent use.
+type Paths struct {
+	routes  map[string]*route
+	accrued time.Duration // busy times are counted up to here
+	decayed time.Duration
+}
+
+// route is what is counted of one route at the own upstream.
+type route struct {
+	running int
+	busy    float64 // seconds that its requests spent at the upstream
+	served  float64 // requests that ended
+	calls   float64
+	targets map[Target]float64 // calls by target
+}
+
+// rate is the estimate of the calls of one running request, per second.
+func (r *route) rate() float64 { return (r.calls + priorCalls) / (r.busy + priorBusy) }
+
+// NewPaths returns paths without knowledge.
+func NewPaths() *Paths { return &Paths{routes: map[string]*route{}} }
+
+// accrue counts the time since the last event, and lets old counts fade.
+func (p *Paths) accrue(now time.Duration) {
+	if elapsed := now - p.accrued; elapsed > 0 {
+		for _, r := range p.routes {
+			r.busy += float64(r.running) * elapsed.Seconds()
+		}
+		p.accrued = now
+	}
+	for ; now-p.decayed >= decayEvery; p.decayed += decayEvery {
+		for name, r := range p.routes {
+			r.fade()
+			if r.running == 0 && r.served < forgotten && r.busy < forgotten {
+				delete(p.routes, name)
+			}
+		}
+		if now-p.decayed > time.Minute {
+			p.decayed = now
+		}
+	}
+}
+
+func (r *route) fade() {
+	r.busy *= decayFactor
+	r.served *= decayFactor
+	r.calls *= decayFactor
+	for t := range r.targets {
+		r.targets[t] *= decayFactor
+	}
+}
+
+// Began records that a request of the route runs at the upstream.
+func (p *Paths) Began(now time.Duration, name string) {
+	p.accrue(now)
+	r := p.routes[name]
+	if r == nil {
+		if len(p.routes) >= maxRoutes {
+			return
+		}
+		r = &route{targets: map[Target]float64{}}
+		p.routes[name] = r
+	}
+	r.running++
+}
+
+// Ended records that it has ended.
+func (p *Paths) Ended(now time.Duration, name string) {
+	p.accrue(now)
+	if r := p.routes[name]; r != nil && r.running > 0 {
+		r.running--
+		r.served++
+	}
+}
+
+// Called records a call of the upstream and returns the route that it is
+// attributed to; draw is uniform in [0, 1). The result is empty if no request
+// runs.
+func (p *Paths) Called(now time.Duration, t Target, draw float64) string {
+	p.accrue(now)
+	total := 0.0
+	for _, r := range p.routes {
+		total += float64(r.running) * r.rate()
+	}
+	if total <= 0 {
+		return ""
+	}
+	chosen, left := "", draw*total
+	for name, r := range p.routes {
+		weight := float64(r.running) * r.rate()
+		if weight <= 0 {
+			continue
+		}
+		if chosen == "" || left > 0 {
+			chosen = name
+		}
+		left -= weight
+		r.credit(t, weight/total)
+	}
+	return chosen
+}
+
+func (r *route) credit(t Target, part float64) {
+	r.calls += part
+	if _, known := r.targets[t]; known || len(r.targets) < maxRoutes {
+		r.targets[t] += part
+	}
+}
+
+// Calls returns the mean number of calls to the target that a request of the
+// route makes.
+func (p *Paths) Calls(name string, t Target) float64 {
+	r := p.routes[name]
+	if r == nil {
+		return 0
+	}
+	return r.targets[t] / (r.served + float64(r.running) + 1)
+}
+
+// Below returns the tightest cut of what requests of the route call.
+func (p *Paths) Below(now time.Duration, name string, v *View) Cut {
+	tightest := Open
+	r := p.routes[name]
+	if r == nil {
+		return tightest
+	}
+	for t := range r.targets {
+		if p.Calls(name, t) >= relevantCalls {
+			tightest = min(tightest, v.Cut(now, t))
+		}
+	}
+	return tightest
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -54,7 +54,6 @@
 	inner     bool    // made by an upstream on behalf of a running request
 	arrived   time.Duration
 	deadline  time.Duration // of the answer
-	expires   time.Duration // when the caller stops waiting
 	body      []byte
 	stream    bool // body is not held
 	sent      bool // the stream has been given away
@@ -124,8 +123,6 @@
 	if ms, err := strconv.ParseInt(c.r.Header.Get(c.n.cfg.Dialect.Remaining), 10, 64); err == nil && ms >= 0 {
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	c.expires = c.arrived + limit
-	c.expires = c.arrived + limit
 	if c.route.Timeout > 0 {
 		limit = min(limit, c.route.Timeout)
 	}
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -80,7 +80,7 @@
 }
 
 func (c *call) fields() []any {
-	f := []any{"request", c.id, "service", c.service, "level", c.level, "inner", c.inner,
+	f := []any{"request", c.id, "service", c.service, "rank", c.level, "inner", c.inner,
 		"ms", (c.n.now() - c.arrived).Milliseconds(), "attempts", c.attempts, "nodes", c.peers}
 	if c.route != nil {
 		f = append(f, "route", c.route.Name, "deadline_ms", (c.deadline - c.arrived).Milliseconds())
@@ -122,7 +122,7 @@
 type nodeMetrics struct {
 	registry                                                                     metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenAnswers, repeats metrics.Counter
-	orphans, storeFailures, badDeclarations                                      metrics.Counter
+	storeFailures, badDeclarations                                               metrics.Counter
 	declaration                                                                  metrics.Gauge
 	latency, queueTime                                                           metrics.Histogram
 }
@@ -144,7 +144,6 @@
 		upstreamSheds:       counter("upstream.sheds"),
 		brokenAnswers:       counter("answers.broken"),
 		repeats:             counter("attempts.repeated"),
-		orphans:             counter("calls.without_parent"),
 		storeFailures:       counter("store.failures"),
 		badDeclarations:     counter("declarations.refused"),
 		declaration:         metrics.GetOrRegisterGauge("declaration.version", r),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -73,6 +73,7 @@
 	meter    *pressure.Meter
 	cut      pressure.Cut // of the local upstream
 	view     *pressure.View
+	paths    *pressure.Paths
 	running  map[uint64]*running // requests at the local upstream
 }
 
@@ -100,6 +101,7 @@
 		meter:   pressure.NewMeter(),
 		cut:     pressure.Open,
 		view:    pressure.NewView(),
+		paths:   pressure.NewPaths(),
 		running: map[uint64]*running{},
 	}
 	n.local = exchange.New(exchange.Config{
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -49,8 +49,7 @@
 	}
 	began := n.now()
 	n.metrics.queueTime.Update((began - arrived).Microseconds())
-	n.begin(id, w, deadline)
-	answer, refusal := n.runUpstream(ctx, w, deadline)
+	answer, refusal := n.runUpstream(ctx, id, w, deadline)
 	if answer == nil {
 		n.end(id, w, began, false)
 		return served{refusal: refusal}
@@ -138,14 +137,17 @@
 
 // runUpstream sends the request to the upstream and reads the header of its
 // answer.
-func (n *Node) runUpstream(ctx context.Context, w *work, deadline time.Duration) (*exchange.Answer, outcome.Refusal) {
+func (n *Node) runUpstream(ctx context.Context, id uint64, w *work, deadline time.Duration) (*exchange.Answer, outcome.Refusal) {
 	d := &n.cfg.Dialect
+	now := n.now()
+	remaining := max((deadline - now).Milliseconds(), 1)
 	n.mu.Lock()
 	instance := n.tracker.Current().Instance
+	n.begin(id, w)
 	n.mu.Unlock()
 	r := w.request
 	r.Header = forwardable(r.Header, d.Key, d.Workspace, d.Caller, d.Instance)
-	r.Header[d.Remaining] = []string{strconv.FormatInt(max((deadline-n.now()).Milliseconds(), 1), 10)}
+	r.Header[d.Remaining] = []string{strconv.FormatInt(remaining, 10)}
 	r.Header[d.Caller] = []string{string(w.Caller)}
 	if instance != "" {
 		r.Header[d.Instance] = []string{instance}
@@ -230,7 +232,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return report{
-		Cut:   min(n.cut, n.view.Below(n.now(), route)),
+		Cut:   min(n.cut, n.paths.Below(n.now(), route, n.view)),
 		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
 		Phase: n.tracker.Phase(n.now()),
 	}
@@ -289,7 +291,7 @@
 	}
 	rep := n.report(w.Route)
 	n.cfg.Log.Write(kind, "serving node refused", "request", w.id, "service", w.Service, "workspace", w.Workspace,
-		"level", w.Level, "inner", w.Inner, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
+		"rank", w.Level, "inner", w.Inner, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
 		"running", rep.Load.InFlight, "queued", rep.Load.Queued, "limit", rep.Load.Limit, "remaining_ms", w.Remaining.Milliseconds())
 }
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -4,9 +4,11 @@
 // The load pattern it answers is a demand above the capacity that lasts: waiting
 // inside the upstream would use a slot and a connection for work that nobody
 // waits for any more. Requests wait at the node instead, in a short queue.
-// Calls of requests that already run come before new requests, since refusing
-// them wastes the work above; then levels in their order, then arrival. A
-// request starts only if it can still be answered in time.
+// Levels come in their order; within one, calls of requests that already run come
+// before new requests, since refusing them wastes the work above; then arrival. A
+// new request of a higher level goes before the calls of less important ones: it
+// may wait only for a part of its target, and they can wait longer. A request
+// starts only if it can still be answered in time.
 package slots
 
 import (
@@ -115,11 +117,11 @@
 func (g *Gate) Latency() time.Duration { return time.Duration(g.latency) }
 
 func level(w Work) int {
-	l := int(min(w.Level, pressure.NumLevels-1))
+	l := 2 * int(min(w.Level, pressure.NumLevels-1))
 	if w.Inner {
 		return l
 	}
-	return pressure.NumLevels + l
+	return l + 1
 }
 
 // Arrive decides on a request.
