--- /dev/null
+++ b/internal/sidecar/mesh_test.go
@@ -0,0 +1,611 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/eventlog"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/ratelimit"
+	"cardamomhatch/internal/retry"
+	"cardamomhatch/internal/upstream"
+)
+
+var dialect = Dialect{
+	Request: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
+	Instance: "X-Instance", Unrun: "X-Unrun", Load: "X-Load", Answerer: "X-Answerer", Seal: "X-Seal",
+	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+}
+
+// store is the source of declarations and the directory of nodes. It can be
+// taken away.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	current func(version uint64) catalog.Declaration
+	changed chan struct{}
+	nodes   map[mesh.Host][]byte
+	away    map[string]bool // by host; "" is everybody
+}
+
+func newStore(d func(uint64) catalog.Declaration) *store {
+	return &store{version: 1, current: d, changed: make(chan struct{}), nodes: map[mesh.Host][]byte{}, away: map[string]bool{}}
+}
+
+func (s *store) declare(d func(uint64) catalog.Declaration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.current = d
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// client is one node's way to the store.
+type client struct {
+	*store
+	host string
+}
+
+var errAway = fmt.Errorf("the store is away")
+
+func (c client) reachable() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away[""] || c.away[c.host] {
+		return errAway
+	}
+	return nil
+}
+
+func (c client) Next(ctx context.Context, after Cursor, wait time.Duration) ([]byte, Cursor, error) {
+	for {
+		if err := c.reachable(); err != nil {
+			return nil, after, err
+		}
+		c.mu.Lock()
+		version, changed := c.version, c.changed
+		c.mu.Unlock()
+		if !after.Known || version > after.Offset {
+			return []byte(strconv.FormatUint(version, 10)), Cursor{Offset: version, Known: true}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-time.After(wait):
+			return nil, after, nil
+		}
+	}
+}
+
+func (c client) Decode(raw []byte) (*catalog.Catalog, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return catalog.New(c.current(version))
+}
+
+func (c client) Publish(_ context.Context, host mesh.Host, record []byte) error {
+	if err := c.reachable(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[host] = record
+	return nil
+}
+
+func (c client) List(context.Context) ([][]byte, error) {
+	if err := c.reachable(); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out [][]byte
+	for _, one := range c.nodes {
+		out = append(out, one)
+	}
+	return out, nil
+}
+
+// host is one node with the upstream beside it.
+type host struct {
+	node     *Node
+	callers  string
+	upstream string
+	instance string
+	service  mesh.Service
+	slots    int
+	log      *logBuffer
+	mu       sync.Mutex
+	runs     map[string]int // by request
+	last     http.Header    // of the last request that ran
+	handle   func(h *host, w http.ResponseWriter, r *http.Request)
+}
+
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) lines() []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []map[string]any
+	for line := range strings.Lines(l.b.String()) {
+		one := map[string]any{}
+		if json.Unmarshal([]byte(line), &one) == nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(dialect.Request)
+	if want := r.Header.Get(dialect.Instance); want != "" && want != h.instance {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.mu.Lock()
+	h.runs[id]++
+	h.last = r.Header.Clone()
+	handle := h.handle
+	h.mu.Unlock()
+	w.Header().Set(dialect.Request, id)
+	if handle != nil {
+		handle(h, w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s %s %d", h.instance, r.Method, r.RequestURI, len(body))
+}
+
+func (h *host) ran(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[id]
+}
+
+func (h *host) script(f func(*host, http.ResponseWriter, *http.Request)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handle = f
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+var bounds = Bounds{
+	Drain: time.Second, Grace: 4 * time.Second, Heartbeat: time.Second,
+	Retry: retry.BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
+	Quota: ratelimit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+}
+
+func startHost(t *testing.T, s *store, name string, service mesh.Service, slots int) *host {
+	t.Helper()
+	h := &host{instance: "i-" + name, service: service, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
+	up := listen(t)
+	server := &http.Server{Handler: h}
+	go server.Serve(up)
+	t.Cleanup(func() { server.Close() })
+	h.upstream = up.Addr().String()
+	h.boot(t, s, name)
+	return h
+}
+
+// boot starts the node beside the upstream.
+func (h *host) boot(t *testing.T, s *store, name string) {
+	t.Helper()
+	callers, peers := listen(t), listen(t)
+	h.callers = callers.Addr().String()
+	log := eventlog.New(h.log, "host", name)
+	h.node = New(Config{
+		Self: mesh.Member{
+			Node:       mesh.NodeID{Host: mesh.Host(name), Incarnation: mesh.Incarnation(time.Now().UnixNano())},
+			DataCentre: "dc", Service: h.service, PeerAddress: peers.Addr().String(),
+		},
+		Claim: uint64(time.Now().UnixMilli()), Seed: 7, UpstreamAddress: h.upstream,
+		Listeners: Listeners{Callers: callers, Peers: peers}, Dialect: dialect,
+		Source: client{s, name}, Directory: client{s, name}, Bounds: bounds, Log: log, Metrics: metrics.NewRegistry(),
+	})
+	h.node.Start()
+	t.Cleanup(func() {
+		h.node.shutdown()
+		log.Close(time.Second)
+	})
+	h.announce(upstream.Ready, 1)
+}
+
+func (h *host) announce(state upstream.State, sequence uint64) {
+	h.node.Announced(upstream.Announcement{
+		Instance: h.instance, Service: h.service, Address: h.upstream, Born: 1, Sequence: sequence, State: state, Slots: h.slots,
+	})
+}
+
+func shop(version uint64) catalog.Declaration {
+	return catalog.Declaration{
+		Version: version,
+		Routes: []catalog.Route{
+			{Name: "read", Host: "shop", Prefix: "/read/", Parts: []catalog.Part{{Service: "web", Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 3},
+			{Name: "order", Host: "shop", Prefix: "/order/", Parts: []catalog.Part{{Service: "web", Weight: 1}}, Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 2},
+			{Name: "feed", Host: "shop", Prefix: "/feed/", Parts: []catalog.Part{{Service: "stock", Weight: 1}}, Idempotent: true, Open: true, Timeout: 2 * time.Second, MaxAttempts: 2},
+		},
+		Services:   []catalog.Service{{Name: "web"}, {Name: "stock"}},
+		Workspaces: []catalog.Workspace{{Name: "w1", Keys: []string{"k1"}}, {Name: "w2", Keys: []string{"k2"}, RatePerSecond: 2, Burst: 2}},
+	}
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closes bool // the connection ends with the answer
+	err    error
+}
+
+func (h *host) call(id, method, path, key, body string) answer {
+	r, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Host = "shop"
+	r.Header.Set(dialect.Request, id)
+	r.Header.Set(dialect.Remaining, "3000")
+	r.Header.Set(dialect.Caller, "forged")
+	r.Header.Set(dialect.Workspace, "forged")
+	if key != "" {
+		r.Header.Set(dialect.Key, key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(data), resp.Header, resp.Close, err}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// small is a mesh of two web hosts and one stock host, all known to each other.
+func small(t *testing.T) (*store, *host, *host, *host) {
+	t.Helper()
+	s := newStore(shop)
+	a, b, c := startHost(t, s, "a", "web", 8), startHost(t, s, "b", "web", 8), startHost(t, s, "c", "stock", 8)
+	for _, h := range []*host{a, b, c} {
+		eventually(t, "a host knows two web nodes and one stock node", func() bool {
+			h.node.mu.Lock()
+			defer h.node.mu.Unlock()
+			now := h.node.now()
+			return len(h.node.roster.Members(now, "web")) == 2 && len(h.node.roster.Members(now, "stock")) == 1 && h.node.current.Load() != nil
+		})
+	}
+	return s, a, b, c
+}
+
+// A request reaches an upstream of its service unchanged, with the workspace and
+// the caller that the node determined, and without the key.
+func TestRequestPassesUnchanged(t *testing.T) {
+	_, a, b, c := small(t)
+	got := c.call("r1", "POST", "/order/x%2Fy?q=a;b&key=1", "k1", strings.Repeat("x", 40_000))
+	if got.status != 200 || !strings.HasSuffix(got.body, "POST /order/x%2Fy?q=a;b&key=1 40000") {
+		t.Fatalf("answer is %+v", got)
+	}
+	ran := a
+	if b.ran("r1") > 0 {
+		ran = b
+	}
+	ran.mu.Lock()
+	defer ran.mu.Unlock()
+	for name, want := range map[string]string{dialect.Workspace: "w1", dialect.Caller: "stock", dialect.Key: "", dialect.Instance: ran.instance, hopHeader: ""} {
+		if got := ran.last.Get(name); got != want {
+			t.Errorf("header %s is %q, want %q", name, got, want)
+		}
+	}
+	if ms, _ := strconv.Atoi(ran.last.Get(dialect.Remaining)); ms <= 0 || ms > 2000 {
+		t.Errorf("remaining time is %d ms, want at most the route's timeout", ms)
+	}
+}
+
+// What is refused must be refused for its reason, and be in the log with it.
+func TestRefusalsHaveOneLineWithTheirCause(t *testing.T) {
+	_, a, _, _ := small(t)
+	for _, one := range []struct {
+		id, path, key, reason string
+		status                int
+	}{
+		{"u1", "/read/1", "wrong", "key-invalid", 401},
+		{"u2", "/read/1", "", "key-missing", 401},
+		{"u3", "/none/1", "k1", "no-route", 404},
+	} {
+		if got := a.call(one.id, "GET", one.path, one.key, ""); got.status != one.status {
+			t.Errorf("%s: status %d, want %d", one.id, got.status, one.status)
+		}
+		eventually(t, "the line of "+one.id, func() bool {
+			n := 0
+			for _, line := range a.log.lines() {
+				if line["request"] == one.id {
+					n++
+					if line["reason"] != one.reason || line["execution"] != "not-run" || line["declaration"] == nil {
+						t.Errorf("line is %v", line)
+					}
+				}
+			}
+			return n == 1
+		})
+	}
+}
+
+// A workspace above its rate is refused, and told when to come back; others are
+// not.
+func TestOverRate(t *testing.T) {
+	_, a, _, _ := small(t)
+	refused := 0
+	for i := range 60 {
+		got := a.call(fmt.Sprint("q", i), "GET", "/read/1", "k2", "")
+		if got.status == http.StatusTooManyRequests {
+			refused++
+			if after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || after <= 0 {
+				t.Errorf("Retry-After is %q", got.header.Get("Retry-After"))
+			}
+		}
+	}
+	if refused < 20 {
+		t.Errorf("%d of 60 requests at once were refused, limit is 2 a second and 2 at once", refused)
+	}
+	if got := a.call("other", "GET", "/read/1", "k1", ""); got.status != 200 {
+		t.Errorf("another workspace got %d", got.status)
+	}
+}
+
+// An answer that is lost makes an idempotent request run again elsewhere, and an
+// order never run twice.
+func TestLostAnswer(t *testing.T) {
+	_, a, b, c := small(t)
+	cut := func(_ *host, w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		conn.Close()
+	}
+	a.script(cut)
+	reads := 0
+	for i := range 20 {
+		if got := c.call(fmt.Sprint("s", i), "GET", "/read/1", "k1", ""); got.status == 200 {
+			reads++
+		}
+	}
+	if reads < 18 {
+		t.Errorf("%d of 20 reads were served", reads)
+	}
+	b.script(cut)
+	for i := range 20 {
+		id := fmt.Sprint("o", i)
+		got := c.call(id, "POST", "/order/1", "k1", "x")
+		if runs := a.ran(id) + b.ran(id); runs > 1 {
+			t.Errorf("order %s ran %d times", id, runs)
+		} else if runs == 1 && got.status != http.StatusBadGateway {
+			t.Errorf("order %s ran and got %d", id, got.status)
+		}
+	}
+}
+
+// An upstream that states it did not run a request leaves the order to another
+// one; and a refusal as a whole promises that nothing ran.
+func TestUnrunOrder(t *testing.T) {
+	_, a, b, c := small(t)
+	shed := func(h *host, w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		h.runs[r.Header.Get(dialect.Request)]--
+		h.mu.Unlock()
+		w.Header().Set(dialect.Unrun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	a.script(shed)
+	for i := range 10 {
+		id := fmt.Sprint("o", i)
+		if got := c.call(id, "POST", "/order/1", "k1", "x"); got.status != 200 || b.ran(id) != 1 {
+			t.Errorf("order %s got %d and ran %d times", id, got.status, b.ran(id))
+		}
+	}
+	b.script(shed)
+	if got := c.call("none", "POST", "/order/1", "k1", "x"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("answer is %+v", got)
+	}
+}
+
+// A leaving upstream gets no new request soon after its notice, from any node.
+func TestLeavingUpstream(t *testing.T) {
+	_, a, b, c := small(t)
+	a.announce(upstream.Draining, 2)
+	time.Sleep(500 * time.Millisecond)
+	for i := range 20 {
+		id := fmt.Sprint("d", i)
+		if got := c.call(id, "GET", "/read/1", "k1", ""); got.status != 200 || a.ran(id) != 0 || b.ran(id) != 1 {
+			t.Fatalf("request %s got %d; the leaving upstream ran it %d times", id, got.status, a.ran(id))
+		}
+	}
+}
+
+// A key that a declaration takes away stops working at a node that the store
+// refuses, because its peers tell it; and a declaration never goes back.
+func TestDeclarationReachesNodesWithoutStore(t *testing.T) {
+	s, a, _, _ := small(t)
+	s.mu.Lock()
+	s.away["a"] = true
+	s.mu.Unlock()
+	s.declare(func(v uint64) catalog.Declaration {
+		d := shop(v)
+		d.Workspaces[0].Keys = []string{"k9"}
+		return d
+	})
+	eventually(t, "node a refuses the key", func() bool { return a.call("k", "GET", "/read/1", "k1", "").status == 401 })
+	if got := a.call("k", "GET", "/read/1", "k9", ""); got.status != 200 {
+		t.Errorf("the new key got %d", got.status)
+	}
+	a.node.takeDeclaration([]byte("1"), "peer", "x")
+	if got := a.call("k", "GET", "/read/1", "k1", ""); got.status != 401 {
+		t.Errorf("an older declaration brought the key back: %d", got.status)
+	}
+}
+
+// A node restarts while the store is away: its peers tell it the declaration and
+// the fleet.
+func TestRestartWithoutStore(t *testing.T) {
+	s, a, _, c := small(t)
+	s.mu.Lock()
+	s.away[""] = true
+	s.mu.Unlock()
+	old := a.node
+	old.shutdown()
+	a.bootAt(t, s, "a", old.cfg.Self.PeerAddress)
+	eventually(t, "the restarted node serves", func() bool { return a.call("x", "GET", "/read/1", "k1", "").status == 200 })
+	if got := c.call("y", "GET", "/read/1", "k1", ""); got.status != 200 {
+		t.Errorf("another node got %d", got.status)
+	}
+}
+
+// bootAt starts the node again at the address that its peers know.
+func (h *host) bootAt(t *testing.T, s *store, name, peers string) {
+	t.Helper()
+	var l net.Listener
+	eventually(t, "the address is free", func() bool {
+		var err error
+		l, err = net.Listen("tcp", peers)
+		return err == nil
+	})
+	callers := listen(t)
+	h.callers = callers.Addr().String()
+	cfg := h.node.cfg
+	cfg.Self.Node.Incarnation++
+	cfg.Claim++
+	cfg.Listeners = Listeners{Callers: callers, Peers: l}
+	cfg.Metrics = metrics.NewRegistry()
+	h.node = New(cfg)
+	h.node.Start()
+	t.Cleanup(h.node.shutdown)
+	h.announce(upstream.Ready, 9)
+}
+
+// A planned stop ends no request, says that it leaves on every answer, and takes
+// no new work from peers.
+func TestStop(t *testing.T) {
+	_, a, b, c := small(t)
+	slow := func(h *host, w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		fmt.Fprint(w, h.instance)
+	}
+	a.script(slow)
+	b.script(slow)
+	results := make(chan answer, 12)
+	for i := range 12 {
+		go func() { results <- c.call(fmt.Sprint("w", i), "POST", "/order/1", "k1", "x") }()
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		a.node.Stop(ctx)
+		close(stopped)
+	}()
+	for range 12 {
+		if got := <-results; got.status != 200 {
+			t.Errorf("a request under way got %+v", got)
+		}
+	}
+	if a.node.Ready() {
+		t.Error("a stopping node is ready")
+	}
+	if got := a.call("late", "GET", "/read/1", "k1", ""); got.status != 200 || !got.closes {
+		t.Errorf("a new request got %d, connection closes: %v", got.status, got.closes)
+	}
+	if got := c.call("other", "GET", "/read/1", "k1", ""); got.status != 200 || a.ran("other") > 0 {
+		t.Errorf("a request of another node got %d; it ran %d times beside the stopping node", got.status, a.ran("other"))
+	}
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Error("the node does not stop")
+	}
+}
+
+// When the caller leaves, the upstream must see its connection close.
+func TestCallerLeaves(t *testing.T) {
+	_, a, b, c := small(t)
+	gone := make(chan struct{}, 2)
+	wait := func(_ *host, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		gone <- struct{}{}
+	}
+	a.script(wait)
+	b.script(wait)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, "GET", "http://"+c.callers+"/read/1", nil)
+	r.Host = "shop"
+	r.Header.Set(dialect.Request, "g")
+	r.Header.Set(dialect.Key, "k1")
+	if _, err := http.DefaultClient.Do(r); err == nil {
+		t.Fatal("the caller did not leave")
+	}
+	select {
+	case <-gone:
+	case <-time.After(700 * time.Millisecond):
+		t.Error("the upstream still works half a second after the caller has left")
+	}
+}
+
+// An answer that breaks off must not look complete, whether it is held or not.
+func TestBrokenAnswerIsNotComplete(t *testing.T) {
+	_, a, b, c := small(t)
+	for _, length := range []int{1000, 200_000} {
+		broken := func(_ *host, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+			w.Write(make([]byte, length/2))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		a.script(broken)
+		b.script(broken)
+		if got := c.call(fmt.Sprint("b", length), "POST", "/order/1", "k1", "x"); got.err == nil && got.status < 500 {
+			t.Errorf("a broken answer of %d bytes looks complete: %d, %d bytes", length, got.status, len(got.body))
+		}
+	}
+}
