Work queues off, keep the upstream in reach while its node stops

Change: the cut makes room for a queue beyond the usual; no node is asked twice for one request; new requests are refused 2.8 s after SIGTERM; a stopping node serves its upstream until shortly before it ends; a restarted one probes after 150 ms and ramps up in 1 s. A line tells when the cut moves.

--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -52,8 +52,15 @@
 	meterGain = 0.1                   // weight of the last slot: a memory of about 500 ms
 	// aim is the part of the capacity that admitted work may use. The rest takes
 	// up the variation of arrivals.
-	aim         = 0.95
+	aim         = 0.97
 	latencyGain = 0.05
+	// drainTime is how fast the cut makes room for a queue to be worked off.
+	drainTime = 800 * time.Millisecond
+	// usualQueue is the part of the capacity that waits for moments while arrivals
+	// vary; it needs no room.
+	usualQueue = 0.3
+	// leastCapacity is the part of the capacity that is admitted beside any queue.
+	leastCapacity = 0.2
 	// maxWeight bounds what one request can stand for.
 	maxWeight = 1 / probeShare
 )
@@ -149,10 +156,13 @@
 }
 
 // Cut returns the cut for a capacity in slots: levels in their order for as long
-// as the capacity lasts.
-func (m *Meter) Cut(now time.Duration, capacity float64) Cut {
+// as the capacity lasts. A queue that has formed takes its part of the capacity
+// until it is worked off; without that it would stand for as long as the overload
+// lasts, and every call of a request would wait in it again.
+func (m *Meter) Cut(now time.Duration, capacity float64, queued int) Cut {
 	m.roll(now)
-	left := aim * capacity
+	backlog := max(float64(queued)-usualQueue*capacity, 0) * m.overall / drainTime.Seconds()
+	left := max(aim*capacity-backlog, leastCapacity*capacity)
 	for l := range m.flows {
 		load := m.load(l)
 		if load > left {
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.meter.Arrived(c.now, Level(level), true, weight)
-	defer func() { c.view.Heard(c.now, target, c.meter.Cut(c.now, float64(c.slots))) }()
+	defer func() { c.view.Heard(c.now, target, c.meter.Cut(c.now, float64(c.slots), len(c.queue))) }()
 	if len(c.queue) >= queueLimit {
 		c.failed[level]++
 		return
@@ -154,6 +154,26 @@
 	}
 }
 
+// Two thirds of the deep service's capacity are lost at once. The queue that forms
+// must not stand: every call of a request would wait in it, and requests would
+// end at their timeouts although the cut fits the capacity that is left.
+func TestQueueIsWorkedOff(t *testing.T) {
+	c := newChain(150)
+	rates := [3]float64{100, 80, 200}
+	c.run(5*time.Second, rates, true)
+	c.slots = 50
+	c.run(3*time.Second, rates, true)
+	sum, n := 0, 0
+	for range 100 {
+		c.run(100*time.Millisecond, rates, true)
+		sum += len(c.queue)
+		n++
+	}
+	if mean := float64(sum) / float64(n); mean > 25 {
+		t.Errorf("%.0f calls wait on average, want at most 25: half of a call's own time", mean)
+	}
+}
+
 // The estimate must not depend on the cut, or the cut would oscillate: the first
 // version measured what was left of the load and served 0.14 of the requests.
 func TestDemandDoesNotDependOnTheCut(t *testing.T) {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -22,7 +22,7 @@
 	leastRemaining = 15 * time.Millisecond
 	// stopRefusalAfter is the time from SIGTERM after which new requests are
 	// refused: they would not end before the process does.
-	stopRefusalAfter = 3 * time.Second
+	stopRefusalAfter = 2800 * time.Millisecond
 )
 
 // attempt is the result of sending a request to one node.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -84,6 +85,9 @@
 	if c.catalog == nil {
 		return n.refusal(outcome.NotRun, outcome.NoConfiguration, ""), false
 	}
+	if n.stoppingFor() > stopRefusalAfter {
+		return n.refusal(outcome.NotRun, outcome.Draining, "the node stops"), false
+	}
 	if !strings.HasPrefix(c.r.URL.Path, "/") || c.r.Method == http.MethodConnect {
 		return n.refusal(outcome.NotRun, outcome.BadRequest, "the request target is not a path"), false
 	}
@@ -164,10 +168,11 @@
 		return
 	}
 	execution := outcome.NotRun
+	last := c.n.refusal(outcome.NotRun, outcome.NoUpstream, "")
 	for {
 		target, ok := c.place()
 		if !ok {
-			c.refuse(c.n.refusal(execution, outcome.NoUpstream, ""))
+			c.refuse(last)
 			return
 		}
 		a := c.attempt(target)
@@ -181,6 +186,7 @@
 		}
 		execution = max(execution, a.refusal.Execution)
 		a.refusal.Execution = execution
+		last = a.refusal
 		if !c.again(&a) {
 			c.refuse(a.refusal)
 			return
@@ -222,7 +228,8 @@
 	return exchange.Body{Source: c.r.Body, Length: c.r.ContentLength}
 }
 
-// place chooses the node for the next attempt.
+// place chooses the node for the next attempt. A node that has been tried is not
+// asked again: what it refused or lost, it would most likely refuse or lose again.
 func (c *call) place() (mesh.Member, bool) {
 	n := c.n
 	n.mu.Lock()
@@ -238,7 +245,7 @@
 	m, reason := n.table.PickFor(n.now(), routing.Request{
 		Service: c.service, Route: c.route.Name, Target: c.route.Target, Class: class, Exclude: exclude,
 	})
-	if reason != outcome.None {
+	if reason != outcome.None || slices.Contains(c.tried, m.Node) {
 		return mesh.Member{}, false
 	}
 	n.table.Sent(n.now(), m.Node)
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -15,9 +15,9 @@
 const (
 	// probeAfter is how long a starting node waits for an announcement before it
 	// asks the upstream who it is.
-	probeAfter   = 500 * time.Millisecond
+	probeAfter   = 150 * time.Millisecond
 	probeTimeout = time.Second
-	probeTries   = 2
+	probeTries   = 4 // in case the declaration comes later
 )
 
 // Announced takes what an upstream says of itself. The result is false if it is
@@ -119,13 +119,14 @@
 	n.stopAt.Store(int64(n.now()))
 	n.stopping.Store(true)
 	n.cfg.Log.Write(eventlog.Lifecycle, "stopping", "open", n.open.Load())
+	pauseOrDone(ctx, announceStopAfter)
 	n.mu.Lock()
 	n.roster.Update(true, func(r *roster.Record) { r.Stopping = true })
 	out := n.roster.Outgoing()
 	n.setMembers(n.now())
 	n.mu.Unlock()
 	n.send(out)
-	n.drainRequests(ctx)
+	n.drainRequests(ctx, n.now()+leaveAfter-announceStopAfter)
 	n.mu.Lock()
 	out = n.roster.Farewell()
 	n.mu.Unlock()
@@ -138,25 +139,34 @@
 	// ends: callers still open connections until they learn that it leaves.
 	calmBefore = 300 * time.Millisecond
 	// leaveAfter is how long a stopping node stays at least, for the same reason.
-	leaveAfter    = 2500 * time.Millisecond
-	shutdownLimit = 300 * time.Millisecond
+	leaveAfter = 2500 * time.Millisecond
+	// announceStopAfter is how long a stopping node still takes work for the
+	// upstream beside it, which goes on running: the upstream is out of reach for
+	// the rest of the stop only, and not while callers are still leaving.
+	announceStopAfter = 1600 * time.Millisecond
+	shutdownLimit     = 300 * time.Millisecond
 )
 
-func (n *Node) drainRequests(ctx context.Context) {
-	begin := n.now()
-	calm := begin
+// drainRequests waits until no request has been under way for a moment, but not
+// less than until the given time.
+func (n *Node) drainRequests(ctx context.Context, until time.Duration) {
+	calm := n.now()
 	for ctx.Err() == nil {
 		now := n.now()
 		if n.open.Load() > 0 {
 			calm = now
 		}
-		if now-begin >= leaveAfter && now-calm >= calmBefore {
+		if now >= until && now-calm >= calmBefore {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(20 * time.Millisecond):
-		}
+		pauseOrDone(ctx, 20*time.Millisecond)
+	}
+}
+
+func pauseOrDone(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -556,6 +556,7 @@
 	if got := a.call("late", "GET", "/read/1", "k1", ""); got.status != 200 || !got.closes {
 		t.Errorf("a new request got %d, connection closes: %v", got.status, got.closes)
 	}
+	time.Sleep(announceStopAfter + 200*time.Millisecond - a.node.stoppingFor())
 	if got := c.call("other", "GET", "/read/1", "k1", ""); got.status != 200 || a.ran("other") > 0 {
 		t.Errorf("a request of another node got %d; it ran %d times beside the stopping node", got.status, a.ran("other"))
 	}
@@ -566,6 +567,18 @@
 	}
 }
 
+// A request that arrives long after SIGTERM would be cut off by the end of the
+// process: callers send new ones for as long as too few other nodes are ready.
+func TestNewRequestLateInAStop(t *testing.T) {
+	_, a, _, _ := small(t)
+	a.node.stopAt.Store(int64(a.node.now() - stopRefusalAfter - time.Second))
+	a.node.stopping.Store(true)
+	got := a.call("late", "POST", "/order/1", "k1", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || !got.closes {
+		t.Errorf("answer is %+v", got)
+	}
+}
+
 // When the caller leaves, the upstream must see its connection close.
 func TestCallerLeaves(t *testing.T) {
 	_, a, b, c := small(t)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -35,6 +35,9 @@
 	maxHeaderBytes    = 64 << 10
 	tickEvery         = 50 * time.Millisecond
 	trimEvery         = time.Second // how often idle connections are looked through
+	// ramp is short because a node that restarts beside a running upstream is new
+	// to its peers, and its reports tell at once how much it bears.
+	ramp = time.Second
 )
 
 // Node is one running node.
@@ -56,25 +59,27 @@
 	stopping atomic.Bool
 	stopAt   atomic.Int64 // node time at which it began to stop, ns
 
-	mu       sync.Mutex // guards what follows
-	raw      []byte     // the declaration as it was stored
-	roster   *roster.Roster
-	tracker  *upstream.Tracker
-	gate     *slots.Gate
-	waiters  map[uint64]chan slots.Step
-	table    *routing.Table
-	splitter catalog.Splitter
-	budgets  map[mesh.Service]*retry.Budget
-	ledger   *ratelimit.Ledger
-	takers   map[uint64]chan ratelimit.Result // requests that wait for tokens
-	fleetAt  time.Duration                    // when the ledger last heard of the fleet
-	told     map[mesh.Workspace]float64       // demand that the peers know of
-	pools    map[string]*exchange.Pool        // by peer address
-	meter    *pressure.Meter
-	cut      pressure.Cut // of the local upstream
-	view     *pressure.View
-	paths    *pressure.Paths
-	running  map[uint64]*running // requests at the local upstream
+	mu        sync.Mutex // guards what follows
+	raw       []byte     // the declaration as it was stored
+	roster    *roster.Roster
+	tracker   *upstream.Tracker
+	gate      *slots.Gate
+	waiters   map[uint64]chan slots.Step
+	table     *routing.Table
+	splitter  catalog.Splitter
+	budgets   map[mesh.Service]*retry.Budget
+	ledger    *ratelimit.Ledger
+	takers    map[uint64]chan ratelimit.Result // requests that wait for tokens
+	fleetAt   time.Duration                    // when the ledger last heard of the fleet
+	told      map[mesh.Workspace]float64       // demand that the peers know of
+	pools     map[string]*exchange.Pool        // by peer address
+	meter     *pressure.Meter
+	cut       pressure.Cut // of the local upstream
+	lastCut   pressure.Cut // that the log was told of
+	cutLogged time.Duration
+	view      *pressure.View
+	paths     *pressure.Paths
+	running   map[uint64]*running // requests at the local upstream
 }
 
 // New builds a node. Start serves.
@@ -92,7 +97,7 @@
 		gate:    slots.New(),
 		waiters: map[uint64]chan slots.Step{},
 		table: routing.New(routing.Config{
-			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node,
+			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node, Ramp: ramp,
 		}),
 		budgets: map[mesh.Service]*retry.Budget{},
 		ledger:  ratelimit.New(cfg.Self, cfg.Bounds.Quota, cfg.Seed),
@@ -100,6 +105,7 @@
 		pools:   map[string]*exchange.Pool{},
 		meter:   pressure.NewMeter(),
 		cut:     pressure.Open,
+		lastCut: pressure.Open,
 		view:    pressure.NewView(),
 		paths:   pressure.NewPaths(),
 		running: map[uint64]*running{},
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -2,13 +2,21 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/pressure"
 )
 
+const (
+	// A line tells of the cut at most so often, and only of a change so large.
+	cutLogEvery = time.Second
+	cutLogStep  = 0.1
+)
+
 // running is a request at the local upstream.
 type running struct {
 	route  string
@@ -38,7 +46,13 @@
 
 // updateCut moves the cut of the local upstream. n.mu is held.
 func (n *Node) updateCut(now time.Duration) {
-	n.cut = n.meter.Cut(now, float64(n.gate.Limit()))
+	n.cut = n.meter.Cut(now, float64(n.gate.Limit()), n.gate.Queued())
+	if now-n.cutLogged < cutLogEvery || math.Abs(float64(n.cut-n.lastCut)) < cutLogStep {
+		return
+	}
+	n.cutLogged, n.lastCut = now, n.cut
+	n.cfg.Log.Write(eventlog.Belief, "cut moved", "cut", float64(n.cut), "demand_slots", n.meter.Demand(), "limit", n.gate.Limit(),
+		"running", n.gate.Running(), "queued", n.gate.Queued(), "latency_ms", n.gate.Latency().Milliseconds())
 }
 
 // parent returns a request at the local upstream on whose behalf the call is
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -270,8 +270,16 @@
 
 // leaving reports whether a stopping node has told its peers long enough ago.
 func (n *Node) leaving() bool {
-	const noticed = 400 * time.Millisecond // in which a rumour reaches the peers
-	return n.stopping.Load() && n.now()-time.Duration(n.stopAt.Load()) > noticed
+	const noticed = 300 * time.Millisecond // in which a rumour reaches the peers
+	return n.stoppingFor() > announceStopAfter+noticed
+}
+
+// stoppingFor returns the time since the node began to stop, or zero.
+func (n *Node) stoppingFor() time.Duration {
+	if !n.stopping.Load() {
+		return 0
+	}
+	return n.now() - time.Duration(n.stopAt.Load())
 }
 
 func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
