Move shares slowly, by the demand that an average node knows

The test now plays a delay that differs by pair of nodes. Change: the share follows the demand told 1.5 s ago and changes by 15 % in 0.5 s at most; holders are chosen again only when the live nodes change.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -13,6 +13,7 @@
 package ratelimit
 
 import (
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,9 @@
 	// toleratedShare is the part of the tolerated excess that is handed out; the
 	// rest covers shares that change at different moments on different nodes.
 	toleratedShare = 0.5
+	// rateTolerance is the part of the tolerated excess by which the shares exceed
+	// the rate: some tokens lie idle at nodes that are out of requests.
+	rateTolerance = 0.3
 	// leastBucket is the bucket of a holder, in requests. Smaller ones would be
 	// empty after a few arrivals that happen to come together.
 	leastBucket = 4
@@ -32,8 +36,13 @@
 	// without requests so far can take its first ones.
 	demandFloor  = 0.1
 	demandSlot   = 250 * time.Millisecond // over which arrivals are counted
-	demandGain   = 0.3                    // weight of the last slot
+	demandGain   = 0.12                   // weight of the last slot: a memory of about two seconds
 	demandNotice = 0.05                   // calls per second that are worth telling
+	// shareChange bounds the change of a share from one update to the next, both
+	// ways, so that the shares still add up to one. Nodes learn of a demand that
+	// rises everywhere at different moments; until all have, faster ones would take
+	// more than their part.
+	shareChange = 1.15
 	// startShare is the part of a second's tokens with which a node begins: its
 	// earlier incarnation may have used up the burst.
 	startShare = 0.25
@@ -134,7 +143,8 @@
 	random    *rand.Rand
 	accounts  map[mesh.Workspace]*account
 	fleet     []Node
-	known     bool // fleet is set
+	live      uint64 // hash of the nodes that can be holders
+	known     bool   // fleet is set
 	outgoing  []Outgoing
 	settled   []Settled
 }
@@ -142,7 +152,10 @@
 // account is one workspace on this node.
 type account struct {
 	limit    Limit
+	rate     float64 // of all shares together
 	share    float64
+	shared   bool // share follows the demand
+	held     bool // the limit is split among holders
 	depth    float64
 	level    float64
 	at       time.Duration
@@ -206,10 +219,27 @@
 		a.told = told[w]
 	}
 	slices.SortFunc(l.fleet, func(a, b Node) int { return compare(string(a.Member.Node.Host), string(b.Member.Node.Host)) })
+	live := l.liveHosts()
 	for _, a := range l.accounts {
 		a.accrue(now)
+		if a.held && live == l.live {
+			continue // the holders depend on nothing but who is alive
+		}
 		l.split(now, a)
 	}
+	l.live = live
+}
+
+// liveHosts returns a hash of the nodes that can be holders.
+func (l *Ledger) liveHosts() uint64 {
+	h := fnv.New64a()
+	for _, n := range l.fleet {
+		if n.Silent < silentHolder {
+			_, _ = h.Write([]byte(n.Member.Node.Host)) // never fails
+			_, _ = h.Write([]byte{0})
+		}
+	}
+	return h.Sum64()
 }
 
 func compare(a, b string) int {
@@ -231,6 +261,7 @@
 // split determines this node's share of a limit, and who can lend to it.
 func (l *Ledger) split(now time.Duration, a *account) {
 	pool := a.limit.Burst + l.tolerated(a.limit)
+	a.rate = a.limit.RatePerSecond * (1 + rateTolerance*l.tolerance.Overage)
 	nodes := len(l.fleet) + 1
 	if !l.known {
 		a.share = 1.0 / unknownFleet
@@ -238,9 +269,11 @@
 		return
 	}
 	if holders := max(int(pool/leastBucket), 1); holders < nodes {
+		a.held = true
 		l.splitAmongHolders(a, holders, pool)
 		return
 	}
+	a.held = false
 	total, own := 0.0, a.told
 	for _, n := range l.fleet {
 		if n.Demand == nil {
@@ -250,7 +283,11 @@
 		total += n.Demand[a.limit.Workspace]
 	}
 	floor := demandFloor * a.limit.RatePerSecond / float64(nodes)
-	a.share = (own + floor) / (total + own + floor*float64(nodes))
+	share := (own + floor) / (total + own + floor*float64(nodes))
+	if a.share > 0 && a.shared {
+		share = min(max(share, a.share/shareChange), a.share*shareChange)
+	}
+	a.share, a.shared = share, true
 	a.setDepth(max(pool*a.share, unit))
 	a.lenders = l.members()
 }
@@ -285,7 +322,7 @@
 		return compare(string(x.Node.Host), string(y.Node.Host))
 	})
 	candidates = candidates[:min(holders, len(candidates))]
-	a.share, a.lenders = 0, nil
+	a.share, a.shared, a.lenders = 0, false, nil
 	for _, m := range candidates {
 		if m.Node.Host == l.self.Node.Host {
 			a.share = 1 / float64(len(candidates))
@@ -308,7 +345,7 @@
 
 func (a *account) accrue(now time.Duration) {
 	if now > a.at {
-		a.level = min(a.depth, a.level+a.share*a.limit.RatePerSecond*(now-a.at).Seconds())
+		a.level = min(a.depth, a.level+a.share*a.rate*(now-a.at).Seconds())
 		a.at = now
 	}
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	delay  = 3 * time.Millisecond // of a message
-	step   = time.Millisecond
-	gossip = 2 * time.Second // until a demand is known everywhere
+	delay = 3 * time.Millisecond // of a message
+	step  = time.Millisecond
+	// A demand is known at another node after a time that differs by node.
+	firstHeard = 500 * time.Millisecond
+	lastHeard  = 2500 * time.Millisecond
+	ownHeard   = 1500 * time.Millisecond // as the node itself assumes
 )
 
 var tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
@@ -30,7 +33,7 @@
 	admitted map[mesh.Workspace][]time.Duration
 	asked    map[mesh.Workspace]int
 	refused  map[mesh.Workspace]int
-	demands  []map[mesh.Workspace]float64 // as the others know them
+	history  [][]map[mesh.Workspace]float64 // demands by node, one entry for each historyStep
 }
 
 type letter struct {
@@ -48,7 +51,7 @@
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 9)), inbox: map[int64][]letter{}, pending: map[uint64]pending{},
 		admitted: map[mesh.Workspace][]time.Duration{}, asked: map[mesh.Workspace]int{}, refused: map[mesh.Workspace]int{},
-		cut: make([]bool, nodes), demands: make([]map[mesh.Workspace]float64, nodes),
+		cut: make([]bool, nodes), history: make([][]map[mesh.Workspace]float64, nodes),
 	}
 	for i := range nodes {
 		m := mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprintf("host-%02d", i)), Incarnation: 1}, PeerAddress: fmt.Sprint(i)}
@@ -62,14 +65,26 @@
 	return f
 }
 
+const historyStep = 250 * time.Millisecond
+
+// demandOf returns the demand of a node as it was some time ago.
+func (f *fleet) demandOf(node int, ago time.Duration) map[mesh.Workspace]float64 {
+	at := len(f.history[node]) - 1 - int(ago/historyStep)
+	if at < 0 {
+		return nil
+	}
+	return f.history[node][at]
+}
+
 func (f *fleet) tellFleet(i int) {
 	var others []Node
 	for j, m := range f.members {
 		if j != i {
-			others = append(others, Node{Member: m, Demand: f.demands[j]})
+			ago := firstHeard + time.Duration((i*7+j*13)%9)*(lastHeard-firstHeard)/8
+			others = append(others, Node{Member: m, Demand: f.demandOf(j, ago)})
 		}
 	}
-	f.ledgers[i].SetFleet(f.now, f.demands[i], others)
+	f.ledgers[i].SetFleet(f.now, f.demandOf(i, ownHeard), others)
 }
 
 func (f *fleet) arrive(node int, w mesh.Workspace) {
@@ -133,11 +148,13 @@
 		for i := range f.ledgers {
 			f.settle(i)
 		}
-		if ms%gossip.Milliseconds() == 0 {
+		if ms%historyStep.Milliseconds() == 0 {
 			for i, l := range f.ledgers {
-				if !f.cut[i] {
-					f.demands[i] = l.Demand(f.now)
+				demand := l.Demand(f.now)
+				if n := len(f.history[i]); f.cut[i] && n > 0 {
+					demand = f.history[i][n-1] // the others do not hear of a new one
 				}
+				f.history[i] = append(f.history[i], demand)
 			}
 		}
 		if ms%500 == 0 {
@@ -254,7 +271,7 @@
 	for i, m := range f.members {
 		f.ledgers[i] = New(m, tolerance, uint64(100+i))
 		f.ledgers[i].SetLimits(f.now, limits)
-		f.demands[i] = nil
+		f.history[i] = nil
 	}
 	f.run(6*time.Second, rates, 0)
 	for _, l := range limits {
--- /dev/null
+++ b/internal/sidecar/bench_test.go
@@ -0,0 +1,36 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkCall measures one read through an entry node and a serving node, with
+// caller and upstream in the same process.
+func BenchmarkCall(b *testing.B) {
+	_, _, _, c := small(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		r, err := http.NewRequest("GET", "http://"+c.callers+"/read/1", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Host = "shop"
+		r.Header.Set(dialect.Request, fmt.Sprint("bench", i))
+		r.Header.Set(dialect.Remaining, "3000")
+		r.Header.Set(dialect.Key, "k1")
+		resp, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatalf("status %d, %v", resp.StatusCode, err)
+		}
+		resp.Body.Close()
+	}
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -196,7 +196,7 @@
 	h.handle = f
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -211,7 +211,7 @@
 	Quota: ratelimit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
 }
 
-func startHost(t *testing.T, s *store, name string, service mesh.Service, slots int) *host {
+func startHost(t testing.TB, s *store, name string, service mesh.Service, slots int) *host {
 	t.Helper()
 	h := &host{instance: "i-" + name, service: service, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
 	up := listen(t)
@@ -224,7 +224,7 @@
 }
 
 // boot starts the node beside the upstream.
-func (h *host) boot(t *testing.T, s *store, name string) {
+func (h *host) boot(t testing.TB, s *store, name string) {
 	t.Helper()
 	callers, peers := listen(t), listen(t)
 	h.callers = callers.Addr().String()
@@ -295,7 +295,7 @@
 	return answer{resp.StatusCode, string(data), resp.Header, resp.Close, err}
 }
 
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if f() {
@@ -306,7 +306,7 @@
 }
 
 // small is a mesh of two web hosts and one stock host, all known to each other.
-func small(t *testing.T) (*store, *host, *host, *host) {
+func small(t testing.TB) (*store, *host, *host, *host) {
 	t.Helper()
 	s := newStore(shop)
 	a, b, c := startHost(t, s, "a", "web", 8), startHost(t, s, "b", "web", 8), startHost(t, s, "c", "stock", 8)
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -17,6 +17,9 @@
 	// the peers, and demandStep the least one in requests per second.
 	demandChange = 0.2
 	demandStep   = 0.5
+	// demandSpread is the time, in fleetEvery, in which a demand reaches an average
+	// node.
+	demandSpread = 3
 	// reportsDemandAfter is the time from which a node's demand says something.
 	reportsDemandAfter = 1500 * time.Millisecond
 )
@@ -84,13 +87,18 @@
 			fleet = append(fleet, ratelimit.Node{Member: rec.Member, Silent: silent, Demand: rec.Demand})
 		}
 	})
-	n.ledger.SetFleet(now, n.told, fleet)
+	var told map[mesh.Workspace]float64
+	if len(n.told) == demandSpread {
+		told = n.told[0]
+	}
+	n.ledger.SetFleet(now, told, fleet)
 	if now < reportsDemandAfter {
 		return
 	}
 	demand := n.ledger.Demand(now)
-	n.told = n.roster.Self().Demand
-	if differs(n.told, demand) {
+	n.told = append(n.told, n.roster.Self().Demand)
+	n.told = n.told[max(len(n.told)-demandSpread, 0):]
+	if differs(n.roster.Self().Demand, demand) {
 		n.roster.Update(false, func(r *roster.Record) { r.Demand = demand })
 	}
 }
