Take a smaller share at once when more nodes become known

Change: the last share is scaled by the number of nodes; the fleet counts as known once the store has listed it, or after 3 s. Result: TestRestartOfAll with nodes that first hear of one peer.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -155,6 +155,7 @@
 	rate     float64 // of all shares together
 	share    float64
 	shared   bool // share follows the demand
+	nodes    int  // among which it was split
 	held     bool // the limit is split among holders
 	depth    float64
 	level    float64
@@ -285,9 +286,11 @@
 	floor := demandFloor * a.limit.RatePerSecond / float64(nodes)
 	share := (own + floor) / (total + own + floor*float64(nodes))
 	if a.share > 0 && a.shared {
-		share = min(max(share, a.share/shareChange), a.share*shareChange)
+		// A node that was not known before takes its part at once.
+		last := a.share * min(float64(a.nodes)/float64(nodes), 1)
+		share = min(max(share, last/shareChange), last*shareChange)
 	}
-	a.share, a.shared = share, true
+	a.share, a.shared, a.nodes = share, true, nodes
 	a.setDepth(max(pool*a.share, unit))
 	a.lenders = l.members()
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -263,7 +263,7 @@
 }
 
 // A node that has not heard of the fleet yet must not spend the whole limit: all
-// nodes may have restarted at once.
+// nodes may have restarted at once, and first hear of one or two others.
 func TestRestartOfAll(t *testing.T) {
 	f := newFleet(15, limits, 4)
 	rates := map[mesh.Workspace]float64{"large": 700, "middle": 150, "small": 40}
@@ -271,6 +271,7 @@
 	for i, m := range f.members {
 		f.ledgers[i] = New(m, tolerance, uint64(100+i))
 		f.ledgers[i].SetLimits(f.now, limits)
+		f.ledgers[i].SetFleet(f.now, nil, []Node{{Member: f.members[(i+1)%len(f.members)]}})
 		f.history[i] = nil
 	}
 	f.run(6*time.Second, rates, 0)
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -174,6 +174,7 @@
 		n.roster.Learn(n.now(), rec)
 	}
 	n.roster.MarkSynced()
+	n.listed = true
 	n.refreshTable(n.now())
 	nodes := n.roster.Len()
 	out := n.roster.Outgoing()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -71,6 +71,7 @@
 	ledger    *ratelimit.Ledger
 	takers    map[uint64]chan ratelimit.Result // requests that wait for tokens
 	fleetAt   time.Duration                    // when the ledger last heard of the fleet
+	listed    bool                             // the store has told of the other nodes
 	told      []map[mesh.Workspace]float64     // demands told lately, the oldest first
 	pools     map[string]*exchange.Pool        // by peer address
 	meter     *pressure.Meter
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -20,6 +20,9 @@
 	// demandSpread is the time, in fleetEvery, in which a demand reaches an average
 	// node.
 	demandSpread = 3
+	// assumesFleetAfter is the time from which a node that the store has not told of
+	// the fleet takes the nodes it has heard of for the whole.
+	assumesFleetAfter = 3 * time.Second
 	// reportsDemandAfter is the time from which a node's demand says something.
 	reportsDemandAfter = 1500 * time.Millisecond
 )
@@ -77,7 +80,7 @@
 // refreshLedger tells the ledger of the fleet, and the peers of this node's
 // demand. n.mu is held.
 func (n *Node) refreshLedger(now time.Duration) {
-	if now-n.fleetAt < fleetEvery || !n.roster.Synced() {
+	if now-n.fleetAt < fleetEvery || !n.roster.Synced() || !n.listed && now < assumesFleetAfter {
 		return
 	}
 	n.fleetAt = now
