--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # make test  formats, vets, lints and tests everything
 GO ?= go
 
-.PHONY: build run test format vet lint unit models
+.PHONY: build run test tools format vet lint unit models
 
 build:
 	$(GO) build -o bin/cardamomhatch ./cmd/cardamomhatch
@@ -10,10 +10,14 @@
 run: build
 	bin/cardamomhatch dev --deployment hanskasmidjan
 
-test: format vet lint unit models
+test: tools format vet lint unit models
+
+# Names what is missing before anything runs.
+tools:
+	@command -v spin >/dev/null 2>&1 || { echo "spin is missing; install it: apt-get install spin" >&2; exit 1; }
 
 format:
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 
 vet:
