End a handshake under way when the client of peers is closed

Close waited for dials and handshakes that were under way, up to two seconds on a busy machine. Change: Close cancels them.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -47,13 +47,18 @@
 	queues map[string]*queue // by address
 	closed bool
 	done   chan struct{}
+	life   context.Context // ends with Close
+	end    context.CancelFunc
 	wg     sync.WaitGroup
 }
 
 // NewClient returns a client without connections.
 func NewClient(cfg Config) *Client {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
+	life, end := context.WithCancel(context.Background())
 	return &Client{
+		life:    life,
+		end:     end,
 		cfg:     cfg,
 		sent:    counter("peer.sent.messages"),
 		dropped: counter("peer.dropped.messages"),
@@ -105,6 +110,7 @@
 	if !c.closed {
 		c.closed = true
 		close(c.done)
+		c.end()
 	}
 	c.mu.Unlock()
 	c.wg.Wait()
@@ -226,12 +232,15 @@
 }
 
 func (c *Client) dial(address string, host mesh.Host) (*rpc.Client, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(c.life, dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer %s", host)
 	}
+	// A peer that does not answer the handshake must not hold up Close.
+	raw := conn
+	defer context.AfterFunc(c.life, func() { raw.Close() })()
 	// The deadline ends with the handshake: an idle connection may stay open.
 	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
 		conn.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -191,6 +191,34 @@
 
 // Guards against pauses that leave their bounds, do not grow, or are the same
 // on every node.
+// A peer that takes connections and says nothing must not hold up Close: a process
+// that was told to stop was still there when its time had ended (soak, seed 53).
+func TestCloseDuringHandshake(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		close(accepted)
+		defer conn.Close()
+		time.Sleep(patience)
+	}()
+	c := NewClient(Config{Self: self, Metrics: metrics.NewRegistry()})
+	c.Send(mesh.Member{Node: remote, PeerAddress: l.Addr().String()}, mesh.Envelope{From: self, To: remote, Message: note{1}})
+	<-accepted
+	begin := time.Now()
+	c.Close()
+	if took := time.Since(begin); took > dialTimeout/2 {
+		t.Errorf("Close took %s while a handshake was under way", took)
+	}
+}
+
 func TestBackoff(t *testing.T) {
 	a := NewBackoff(rand.New(rand.NewPCG(1, 1)), redialMax)
 	b := NewBackoff(rand.New(rand.NewPCG(1, 2)), redialMax)
