Remove what nothing uses in the new packages

Dead counters and a queue drain in slots, an unused flag of the hop, a bound on idle connections and header names that nothing sets. No behaviour changes.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,9 +31,8 @@
 
 const (
 	bufferLines = 512
-	// The rates bound the lines a second of each kind, and with lineBytes the
-	// volume: 155 lines or about 60 KB a second.
-	lineBytes    = 400 // a line is about so long
+	// The rates bound the lines a second of each kind: 155 in all, or about 60 KB
+	// at 400 bytes a line.
 	lifecycleMax = 20
 	beliefMax    = 30
 	failedMax    = 60
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -39,8 +39,7 @@
 	Address     string
 	DialTimeout time.Duration
 	IdleTimeout time.Duration // how long an idle connection is kept
-	MaxIdle     int
-	Opened      func() // called for every new connection
+	Opened      func()        // called for every new connection
 }
 
 // Pool holds the idle connections to one address. It is safe for concurrent use.
@@ -154,7 +153,7 @@
 	c.used = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.era != p.era || (p.cfg.MaxIdle > 0 && len(p.idle) >= p.cfg.MaxIdle) {
+	if c.era != p.era {
 		c.Close()
 		return
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -31,7 +31,6 @@
 	Unrun     string // an upstream states that it did not run the request
 	Load      string // running and waiting requests and slots of an upstream
 	Answerer  string // start of the upstream that answers a probe
-	Seal      string // an upstream's own mark on its answer
 	// ParseLoad reads the value of the Load header.
 	ParseLoad func(string) (Load, bool)
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -32,8 +32,8 @@
 	// innerWaitShare is that of a call of a running request: refusing it wastes
 	// the work of the request, so it waits for as long as it can still be served.
 	innerWaitShare = 0.6
-	// lastAnswerGrace is subtracted from a route's timeout: an answer of this node
-	// still reaches the caller in time.
+	// timeoutMargin is subtracted from the time of a request, so that an answer of
+	// this node still reaches the caller in time.
 	timeoutMargin = 20 * time.Millisecond
 	// maxExcessDelay bounds how much later callers of a workspace far above its
 	// rate come back.
@@ -268,7 +268,7 @@
 	remaining := max(c.deadline-c.n.now(), time.Millisecond)
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.n.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Inner: c.inner,
-		Once: !c.route.Idempotent, Repeat: c.attempts > 0, Remaining: remaining, Wait: c.waitLimit(remaining),
+		Once: !c.route.Idempotent, Remaining: remaining, Wait: c.waitLimit(remaining),
 	}
 	if c.workspace != nil {
 		h.Workspace = c.workspace.Name
--- /dev/null
+++ b/internal/sidecar/harness_test.go
@@ -0,0 +1,322 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/eventlog"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/ratelimit"
+	"cardamomhatch/internal/retry"
+	"cardamomhatch/internal/upstream"
+)
+
+var dialect = Dialect{
+	Request: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
+	Instance: "X-Instance", Unrun: "X-Unrun", Load: "X-Load", Answerer: "X-Answerer",
+	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+}
+
+// store is the source of declarations and the directory of nodes. It can be
+// taken away.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	current func(version uint64) catalog.Declaration
+	changed chan struct{}
+	nodes   map[mesh.Host][]byte
+	away    map[string]bool // by host; "" is everybody
+}
+
+func newStore(d func(uint64) catalog.Declaration) *store {
+	return &store{version: 1, current: d, changed: make(chan struct{}), nodes: map[mesh.Host][]byte{}, away: map[string]bool{}}
+}
+
+func (s *store) declare(d func(uint64) catalog.Declaration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.current = d
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// client is one node's way to the store.
+type client struct {
+	*store
+	host string
+}
+
+var errAway = fmt.Errorf("the store is away")
+
+func (c client) reachable() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away[""] || c.away[c.host] {
+		return errAway
+	}
+	return nil
+}
+
+func (c client) Next(ctx context.Context, after Cursor, wait time.Duration) ([]byte, Cursor, error) {
+	for {
+		if err := c.reachable(); err != nil {
+			return nil, after, err
+		}
+		c.mu.Lock()
+		version, changed := c.version, c.changed
+		c.mu.Unlock()
+		if !after.Known || version > after.Offset {
+			return []byte(strconv.FormatUint(version, 10)), Cursor{Offset: version, Known: true}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-time.After(wait):
+			return nil, after, nil
+		}
+	}
+}
+
+func (c client) Decode(raw []byte) (*catalog.Catalog, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return catalog.New(c.current(version))
+}
+
+func (c client) Publish(_ context.Context, host mesh.Host, record []byte) error {
+	if err := c.reachable(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[host] = record
+	return nil
+}
+
+func (c client) List(context.Context) ([][]byte, error) {
+	if err := c.reachable(); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out [][]byte
+	for _, one := range c.nodes {
+		out = append(out, one)
+	}
+	return out, nil
+}
+
+// host is one node with the upstream beside it.
+type host struct {
+	node     *Node
+	callers  string
+	upstream string
+	instance string
+	service  mesh.Service
+	slots    int
+	log      *logBuffer
+	mu       sync.Mutex
+	runs     map[string]int // by request
+	last     http.Header    // of the last request that ran
+	handle   func(h *host, w http.ResponseWriter, r *http.Request)
+}
+
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) lines() []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []map[string]any
+	for line := range strings.Lines(l.b.String()) {
+		one := map[string]any{}
+		if json.Unmarshal([]byte(line), &one) == nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(dialect.Request)
+	if want := r.Header.Get(dialect.Instance); want != "" && want != h.instance {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.mu.Lock()
+	h.runs[id]++
+	h.last = r.Header.Clone()
+	handle := h.handle
+	h.mu.Unlock()
+	w.Header().Set(dialect.Request, id)
+	if handle != nil {
+		handle(h, w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s %s %d", h.instance, r.Method, r.RequestURI, len(body))
+}
+
+func (h *host) ran(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[id]
+}
+
+func (h *host) script(f func(*host, http.ResponseWriter, *http.Request)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handle = f
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+var bounds = Bounds{
+	Drain: time.Second, Grace: 4 * time.Second, Heartbeat: time.Second,
+	Retry: retry.BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
+	Quota: ratelimit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+}
+
+func startHost(t testing.TB, s *store, name string, service mesh.Service, slots int) *host {
+	t.Helper()
+	h := &host{instance: "i-" + name, service: service, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
+	up := listen(t)
+	server := &http.Server{Handler: h}
+	go server.Serve(up)
+	t.Cleanup(func() { server.Close() })
+	h.upstream = up.Addr().String()
+	h.boot(t, s, name)
+	return h
+}
+
+// boot starts the node beside the upstream.
+func (h *host) boot(t testing.TB, s *store, name string) {
+	t.Helper()
+	callers, peers := listen(t), listen(t)
+	h.callers = callers.Addr().String()
+	log := eventlog.New(h.log, "host", name)
+	h.node = New(Config{
+		Self: mesh.Member{
+			Node:       mesh.NodeID{Host: mesh.Host(name), Incarnation: mesh.Incarnation(time.Now().UnixNano())},
+			DataCentre: "dc", Service: h.service, PeerAddress: peers.Addr().String(),
+		},
+		Claim: uint64(time.Now().UnixMilli()), Seed: 7, UpstreamAddress: h.upstream,
+		Listeners: Listeners{Callers: callers, Peers: peers}, Dialect: dialect,
+		Source: client{s, name}, Directory: client{s, name}, Bounds: bounds, Log: log, Metrics: metrics.NewRegistry(),
+	})
+	h.node.Start()
+	t.Cleanup(func() {
+		h.node.shutdown()
+		log.Close(time.Second)
+	})
+	h.announce(upstream.Ready, 1)
+}
+
+func (h *host) announce(state upstream.State, sequence uint64) {
+	h.node.Announced(upstream.Announcement{
+		Instance: h.instance, Service: h.service, Address: h.upstream, Born: 1, Sequence: sequence, State: state, Slots: h.slots,
+	})
+}
+
+func shop(version uint64) catalog.Declaration {
+	return catalog.Declaration{
+		Version: version,
+		Routes: []catalog.Route{
+			{Name: "read", Host: "shop", Prefix: "/read/", Parts: []catalog.Part{{Service: "web", Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 3},
+			{Name: "order", Host: "shop", Prefix: "/order/", Parts: []catalog.Part{{Service: "web", Weight: 1}}, Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 2},
+			{Name: "feed", Host: "shop", Prefix: "/feed/", Parts: []catalog.Part{{Service: "stock", Weight: 1}}, Idempotent: true, Open: true, Timeout: 2 * time.Second, MaxAttempts: 2},
+		},
+		Services:   []catalog.Service{{Name: "web"}, {Name: "stock"}},
+		Workspaces: []catalog.Workspace{{Name: "w1", Keys: []string{"k1"}}, {Name: "w2", Keys: []string{"k2"}, RatePerSecond: 2, Burst: 2}},
+	}
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closes bool // the connection ends with the answer
+	err    error
+}
+
+func (h *host) call(id, method, path, key, body string) answer {
+	r, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Host = "shop"
+	r.Header.Set(dialect.Request, id)
+	r.Header.Set(dialect.Remaining, "3000")
+	r.Header.Set(dialect.Caller, "forged")
+	r.Header.Set(dialect.Workspace, "forged")
+	if key != "" {
+		r.Header.Set(dialect.Key, key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(data), resp.Header, resp.Close, err}
+}
+
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// small is a mesh of two web hosts and one stock host, all known to each other.
+func small(t testing.TB) (*store, *host, *host, *host) {
+	t.Helper()
+	s := newStore(shop)
+	a, b, c := startHost(t, s, "a", "web", 8), startHost(t, s, "b", "web", 8), startHost(t, s, "c", "stock", 8)
+	for _, h := range []*host{a, b, c} {
+		eventually(t, "a host knows two web nodes and one stock node", func() bool {
+			h.node.mu.Lock()
+			defer h.node.mu.Unlock()
+			now := h.node.now()
+			return len(h.node.roster.Members(now, "web")) == 2 && len(h.node.roster.Members(now, "stock")) == 1 && h.node.current.Load() != nil
+		})
+	}
+	return s, a, b, c
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -68,7 +68,6 @@
 	byID    map[uint64]*waiting
 	latency float64 // of an answer, ns
 	grown   time.Duration
-	window  window
 }
 
 type waiting struct {
@@ -127,7 +126,6 @@
 // Arrive decides on a request.
 func (g *Gate) Arrive(now time.Duration, w Work) (Verdict, outcome.Reason) {
 	g.tick(now)
-	g.window.arrived(w)
 	if g.late(now, w) {
 		return Refuse, outcome.DeadlineExceeded
 	}
@@ -136,7 +134,6 @@
 		return Run, outcome.None
 	}
 	if w.Start <= now || g.queued >= maxQueueLoad*int(g.limit)+minLimit {
-		g.window.refused(w)
 		return Refuse, outcome.Overloaded
 	}
 	item := &waiting{Work: w, arrived: now}
@@ -232,7 +229,6 @@
 		for _, item := range g.queue[l] {
 			if !item.gone && item.Start <= now {
 				g.Gone(item.ID)
-				g.window.refused(item.Work)
 				return Step{item.ID, Refuse, outcome.QueueTimeout}, true
 			}
 		}
@@ -257,21 +253,3 @@
 	g.Gone(g.queue[l][0].ID)
 	g.queue[l] = g.queue[l][1:]
 }
-
-// Refusing returns and removes all requests that wait.
-func (g *Gate) Refusing() []uint64 {
-	var ids []uint64
-	for id := range g.byID {
-		ids = append(ids, id)
-	}
-	for _, id := range ids {
-		g.Gone(id)
-	}
-	return ids
-}
-
-// window counts arrivals and refusals since it was last read.
-type window struct{ arrivals, refusals int }
-
-func (w *window) arrived(Work) { w.arrivals++ }
-func (w *window) refused(Work) { w.refusals++ }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,7 +43,6 @@
 	Sequence uint64 // grows with each announcement of one start
 	State    State
 	Slots    int
-	ColdFor  time.Duration // how much longer it is slow after its start
 }
 
 const (
