Make what a refusal states agree with its cause

Cause, found by reading the change: the line of a refused key stated a negative time; the outcome header said retry-after-ms=0 beside a Retry-After; an absent upstream was reported as draining. The header's format stood in two places. Change: the deadline is set before the key is checked, the header is written by outcome.Refusal once Retry-After is known, and the reason follows the phase. Result: TestRefusalsHaveOneLineWithTheirCause, TestUnrunOrder and TestReasonOfAnAbsentUpstream failed before and pass.

--- a/internal/outcome/wire.go
+++ b/internal/outcome/wire.go
@@ -36,7 +36,7 @@
 	}
 	payload = append(payload, '\n')
 	h := w.Header()
-	h.Set(Header, r.headerValue())
+	h.Set(Header, r.HeaderValue())
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(payload)))
 	if r.RetryAfter > 0 {
@@ -47,7 +47,8 @@
 	return err
 }
 
-func (r Refusal) headerValue() string {
+// HeaderValue returns the value of Header.
+func (r Refusal) HeaderValue() string {
 	return fmt.Sprintf("%s; reason=%s; node=%s; retry-after-ms=%d",
 		r.Execution, r.Reason, r.Node, r.RetryAfter.Milliseconds())
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -95,10 +95,10 @@
 	if c.route == nil {
 		return n.refusal(outcome.NotRun, outcome.NoRoute, ""), false
 	}
+	c.setDeadline()
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
-	c.setDeadline()
 	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
 		return n.refusal(outcome.NotRun, outcome.TooLarge, strconv.FormatInt(c.r.ContentLength, 10)), false
 	}
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -34,13 +34,13 @@
 	}
 	status := c.status(r)
 	h := c.w.Header()
-	h[outcome.Header] = []string{fmt.Sprintf("%s; reason=%s; node=%s; retry-after-ms=%d", r.Execution, r.Reason, r.Node, r.RetryAfter.Milliseconds())}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		if r.RetryAfter <= 0 {
 			r.RetryAfter = c.returnAfter()
 		}
 		h["Retry-After"] = []string{strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)}
 	}
+	h[outcome.Header] = []string{r.HeaderValue()}
 	if c.r.Method != http.MethodGet && c.body == nil && c.r.ContentLength != 0 {
 		h["Connection"] = []string{"close"} // the rest of the body is not read
 	}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/upstream"
 )
 
@@ -59,6 +60,9 @@
 			for _, line := range a.log.lines() {
 				if line["request"] == one.id {
 					n++
+					if ms, ok := line["deadline_ms"].(float64); ok && ms <= 0 {
+						t.Errorf("line states a time of %v ms", ms)
+					}
 					if line["reason"] != one.reason || line["execution"] != "not-run" || line["declaration"] == nil {
 						t.Errorf("line is %v", line)
 					}
@@ -140,9 +144,35 @@
 		}
 	}
 	b.script(shed)
-	if got := c.call("none", "POST", "/order/1", "k1", "x"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+	got := c.call("none", "POST", "/order/1", "k1", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("answer is %+v", got)
 	}
+	// The two headers must not contradict each other.
+	if refusal, ok := outcome.Parse(got.header); !ok || refusal.RetryAfter <= 0 {
+		t.Errorf("header %s is %q", outcome.Header, got.header.Get(outcome.Header))
+	}
+}
+
+// An upstream that does not answer any more must not be reported as one that
+// leaves: on call, the two have different causes.
+func TestReasonOfAnAbsentUpstream(t *testing.T) {
+	_, a, _, _ := small(t)
+	for _, one := range []struct {
+		change func()
+		want   outcome.Reason
+	}{
+		{func() { a.announce(upstream.Draining, 2); time.Sleep(bounds.Drain) }, outcome.Draining},
+		{func() { a.node.mu.Lock(); a.node.tracker.Replaced(); a.node.mu.Unlock() }, outcome.NoUpstream},
+	} {
+		one.change()
+		a.node.mu.Lock()
+		refusal, ok := a.node.takesWork(&work{hop: hop{Target: a.node.cfg.Self.Node, Service: "web"}}, a.node.now())
+		a.node.mu.Unlock()
+		if ok || refusal.Reason != one.want {
+			t.Errorf("reason is %s, want %s", refusal.Reason, one.want)
+		}
+	}
 }
 
 // A leaving upstream gets no new request soon after its notice, from any node.
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -11,6 +11,7 @@
 	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
 	"cardamomhatch/internal/slots"
 )
@@ -106,10 +107,12 @@
 	switch {
 	case w.Target.Host != n.cfg.Self.Node.Host || w.Service != n.cfg.Self.Service:
 		return n.refusal(outcome.NotRun, outcome.NoUpstream, "the request is for another node"), false
-	case !n.tracker.Accepts(now):
+	case n.tracker.Accepts(now):
+		return outcome.Refusal{}, true
+	case n.tracker.Phase(now) == roster.Leaving:
 		return n.refusal(outcome.NotRun, outcome.Draining, ""), false
 	}
-	return outcome.Refusal{}, true
+	return n.refusal(outcome.NotRun, outcome.NoUpstream, "the upstream is absent"), false
 }
 
 // finish gives a slot back, and starts requests that waited for it.
