Keep one copy of what the new packages share

A context for the life of a node replaces a channel and a goroutine for each call to the store. No behaviour changes on the request path.

--- a/cmd/cardamomhatch/run.go
+++ b/cmd/cardamomhatch/run.go
@@ -102,24 +102,41 @@
 }
 
 func listen(set settings.Settings) (l node.Listeners, err error) {
-	for _, one := range []struct {
-		name    string
-		address netip.AddrPort
-		target  *net.Listener
-	}{
+	specs := []listenerSpec{
 		{"callers", set.Callers, &l.Callers},
 		{"local", set.Local, &l.Local},
 		{"peers", set.Peers, &l.Peers},
 		{"operators", set.Operators, &l.Operators},
-	} {
+	}
+	for _, one := range specs {
 		if one.address.Addr().IsUnspecified() {
 			return l, errors.Errorf("listener for %s: %s names no interface that other hosts could be told", one.name, one.address)
 		}
-		if *one.target, err = net.Listen("tcp", one.address.String()); err != nil {
-			return l, errors.Wrapf(err, "listener for %s", one.name)
+	}
+	err = openListeners(specs)
+	return l, err
+}
+
+// listenerSpec is one listener of a node and where it is put.
+type listenerSpec struct {
+	name    string
+	address netip.AddrPort
+	target  *net.Listener
+}
+
+// openListeners opens all listeners, or none.
+func openListeners(specs []listenerSpec) error {
+	for i, one := range specs {
+		l, err := net.Listen("tcp", one.address.String())
+		if err != nil {
+			for _, opened := range specs[:i] {
+				(*opened.target).Close()
+			}
+			return errors.Wrapf(err, "listener for %s", one.name)
 		}
+		*one.target = l
 	}
-	return l, nil
+	return nil
 }
 
 // readTLS returns the security of the listeners and the transport to the log
--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -4,9 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"io"
-	"net"
-	"net/netip"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -123,25 +120,12 @@
 }
 
 func listenSidecar(set settings.Sidecar) (l sidecar.Listeners, err error) {
-	var opened []io.Closer
-	for _, one := range []struct {
-		name    string
-		address netip.AddrPort
-		target  *net.Listener
-	}{
+	err = openListeners([]listenerSpec{
 		{"callers", set.Callers, &l.Callers},
 		{"peers", set.Peers, &l.Peers},
 		{"announcements", set.Announcements, &l.Announcements},
 		{"ready", set.Ready, &l.Ready},
 		{"metrics", set.Metrics, &l.Metrics},
-	} {
-		if *one.target, err = net.Listen("tcp", one.address.String()); err != nil {
-			for _, o := range opened {
-				o.Close()
-			}
-			return l, errors.Wrapf(err, "listener for %s", one.name)
-		}
-		opened = append(opened, *one.target)
-	}
-	return l, nil
+	})
+	return l, err
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -17,8 +17,8 @@
 // Kind groups lines that share a rate.
 type Kind uint8
 
-// The kinds. Failures keep a rate of their own, so that lines about requests
-// that were served never displace them.
+// The kinds. Failures have a rate of their own, so that lines about requests that
+// were served do not use it up.
 const (
 	Lifecycle Kind = iota // start, stop, reload, dependencies
 	Belief                // what the process believes has changed
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -125,7 +125,10 @@
 			err := raw.Control(func(fd uintptr) {
 				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedLimit.Milliseconds()))
 			})
-			return errors.Wrap(firstError(err, failed), "set TCP_USER_TIMEOUT")
+			if err == nil {
+				err = failed
+			}
+			return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 		},
 	}
 	p.mu.Lock()
@@ -141,13 +144,6 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), era: era}, nil
 }
 
-func firstError(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 // put keeps a connection whose last answer was read completely.
 func (p *Pool) put(c *conn) {
 	c.used = time.Now()
--- a/internal/mesh/cut.go
+++ b/internal/mesh/cut.go
@@ -1,5 +1,10 @@
 package mesh
 
+import (
+	"cmp"
+	"slices"
+)
+
 // CutScale is the value of Cut.Share that admits a whole class.
 const CutScale = 1024
 
@@ -40,6 +45,16 @@
 	return x ^ x>>31
 }
 
+// RankMembers sorts members by their rendezvous scores for a key, the highest first.
+func RankMembers(key string, members []Member) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(RendezvousScore(key, b.Node), RendezvousScore(key, a.Node)),
+			cmp.Compare(a.Node.Host, b.Node.Host),
+		)
+	})
+}
+
 // RendezvousScore ranks a node for a key: the nodes with the highest scores are
 // chosen, and a change of one node moves only that node's keys.
 func RendezvousScore(key string, node NodeID) uint64 {
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// The estimate must not depend on the cut, or the cut would oscillate: the first
-// version measured what was left of the load and served 0.14 of the requests.
+// The estimate must not depend on the cut, or the cut oscillates: it takes effect
+// only after the requests admitted before have made their calls.
 func TestDemandDoesNotDependOnTheCut(t *testing.T) {
 	c := newChain(50)
 	c.run(3*time.Second, [3]float64{100, 80, 200}, true)
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -13,6 +13,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -154,8 +155,7 @@
 	limit    Limit
 	rate     float64 // of all shares together
 	share    float64
-	shared   bool // share follows the demand
-	nodes    int  // among which it was split
+	nodes    int  // among which it was split by demand; zero: it was not
 	held     bool // the limit is split among holders
 	depth    float64
 	level    float64
@@ -195,13 +195,13 @@
 			a = &account{at: now, slot: now}
 			l.accounts[limit.Workspace] = a
 			a.limit = limit
-			l.split(now, a)
+			l.split(a)
 			a.level = min(a.depth, startShare*limit.RatePerSecond*a.share)
 			continue
 		}
 		a.accrue(now)
 		a.limit = limit
-		l.split(now, a)
+		l.split(a)
 	}
 	for w, a := range l.accounts {
 		if !seen[w] {
@@ -219,14 +219,14 @@
 	for w, a := range l.accounts {
 		a.told = told[w]
 	}
-	slices.SortFunc(l.fleet, func(a, b Node) int { return compare(string(a.Member.Node.Host), string(b.Member.Node.Host)) })
+	slices.SortFunc(l.fleet, func(a, b Node) int { return cmp.Compare(a.Member.Node.Host, b.Member.Node.Host) })
 	live := l.liveHosts()
 	for _, a := range l.accounts {
 		a.accrue(now)
 		if a.held && live == l.live {
 			continue // the holders depend on nothing but who is alive
 		}
-		l.split(now, a)
+		l.split(a)
 	}
 	l.live = live
 }
@@ -243,16 +243,6 @@
 	return h.Sum64()
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // tolerated is the excess that is handed out for a limit.
 func (l *Ledger) tolerated(limit Limit) float64 {
 	whole := limit.RatePerSecond*l.tolerance.Window.Seconds() + limit.Burst
@@ -260,7 +250,7 @@
 }
 
 // split determines this node's share of a limit, and who can lend to it.
-func (l *Ledger) split(now time.Duration, a *account) {
+func (l *Ledger) split(a *account) {
 	pool := a.limit.Burst + l.tolerated(a.limit)
 	a.rate = a.limit.RatePerSecond * (1 + rateTolerance*l.tolerance.Overage)
 	nodes := len(l.fleet) + 1
@@ -285,12 +275,12 @@
 	}
 	floor := demandFloor * a.limit.RatePerSecond / float64(nodes)
 	share := (own + floor) / (total + own + floor*float64(nodes))
-	if a.share > 0 && a.shared {
+	if a.nodes > 0 {
 		// A node that was not known before takes its part at once.
 		last := a.share * min(float64(a.nodes)/float64(nodes), 1)
 		share = min(max(share, last/shareChange), last*shareChange)
 	}
-	a.share, a.shared, a.nodes = share, true, nodes
+	a.share, a.nodes = share, nodes
 	a.setDepth(max(pool*a.share, unit))
 	a.lenders = l.members()
 }
@@ -313,19 +303,9 @@
 			candidates = append(candidates, n.Member)
 		}
 	}
-	key := string(a.limit.Workspace)
-	slices.SortFunc(candidates, func(x, y mesh.Member) int {
-		p, q := mesh.RendezvousScore(key, x.Node), mesh.RendezvousScore(key, y.Node)
-		switch {
-		case p > q:
-			return -1
-		case p < q:
-			return 1
-		}
-		return compare(string(x.Node.Host), string(y.Node.Host))
-	})
+	mesh.RankMembers(string(a.limit.Workspace), candidates)
 	candidates = candidates[:min(holders, len(candidates))]
-	a.share, a.shared, a.lenders = 0, false, nil
+	a.share, a.nodes, a.lenders = 0, 0, nil
 	for _, m := range candidates {
 		if m.Node.Host == l.self.Node.Host {
 			a.share = 1 / float64(len(candidates))
@@ -470,7 +450,7 @@
 
 // Abandon ends the wait of a request. The result is false if it was settled
 // already.
-func (l *Ledger) Abandon(now time.Duration, w mesh.Workspace, call uint64) bool {
+func (l *Ledger) Abandon(w mesh.Workspace, call uint64) bool {
 	a := l.accounts[w]
 	if a == nil {
 		return false
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -144,7 +144,7 @@
 		delete(f.inbox, ms)
 		for _, id := range slices.Sorted(maps.Keys(f.pending)) {
 			p := f.pending[id]
-			if f.now >= p.until && f.ledgers[p.node].Abandon(f.now, p.workspace, id) {
+			if f.now >= p.until && f.ledgers[p.node].Abandon(p.workspace, id) {
 				delete(f.pending, id)
 				f.refused[p.workspace]++
 			}
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -56,15 +56,9 @@
 	mesh.RegisterMessage(Declaration{})
 }
 
-// Needs says what the shell has to do for a message that the roster cannot
-// answer by itself.
-type Needs struct {
-	SendDeclaration mesh.Member // the member that lacks the declaration
-	Lacks           bool        // SendDeclaration is set
-}
-
-// Deliver takes a message of a peer. Answers are among Outgoing.
-func (r *Roster) Deliver(now time.Duration, m mesh.Message) Needs {
+// Deliver takes a message of a peer. Answers are among Outgoing. If lacks is true,
+// the shell, which holds the declaration, has to send it to the member.
+func (r *Roster) Deliver(now time.Duration, m mesh.Message) (to mesh.Member, lacks bool) {
 	switch m := m.(type) {
 	case Digest:
 		return r.compare(now, m)
@@ -75,10 +69,10 @@
 			r.send(m.From, News{Records: r.records(m.Hosts)})
 		}
 		if m.Declaration {
-			return Needs{SendDeclaration: m.From, Lacks: true}
+			return m.From, true
 		}
 	}
-	return Needs{}
+	return mesh.Member{}, false
 }
 
 func (r *Roster) digest() Digest {
@@ -93,7 +87,7 @@
 
 // compare answers a digest with the records that are newer here, and asks for
 // those that are newer there.
-func (r *Roster) compare(now time.Duration, d Digest) Needs {
+func (r *Roster) compare(now time.Duration, d Digest) (to mesh.Member, lacks bool) {
 	if len(d.Entries) > 0 {
 		r.compareEntries(now, d)
 	}
@@ -101,9 +95,9 @@
 	case d.Version > r.version:
 		r.send(d.From, Ask{From: r.self.Member, Declaration: true})
 	case d.Version < r.version:
-		return Needs{SendDeclaration: d.From, Lacks: true}
+		return d.From, true
 	}
-	return Needs{}
+	return mesh.Member{}, false
 }
 
 func (r *Roster) compareEntries(now time.Duration, d Digest) {
@@ -177,6 +171,6 @@
 		r.synced = true
 	}
 	if len(material) > 0 {
-		r.rumour(News{Records: material}, "")
+		r.rumour(News{Records: material})
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,13 +4,14 @@
 // No service keeps a list of nodes. A node publishes its address once, in the
 // platform's store, and learns the rest from its peers: every node sends a
 // digest of what it knows to one partner at a time, and the partner answers
-// with what is newer. A change of state is told to some partners at once, so
+// with what is newer. A change of state is told to some nodes at once, so
 // that it reaches all nodes in a few rounds without a message from each node to
 // each other one. A node that starts while the store is away is found by its
 // peers, who keep sending digests to the address they know.
 package roster
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,7 +25,7 @@
 	// partners is how many nodes a node exchanges digests with by choice. A
 	// rumour needs about log(n)/log(partners) rounds to reach n nodes.
 	partners = 8
-	// rumourFanout is how many partners hear of a change at once.
+	// rumourFanout is how many nodes hear of a change at once.
 	rumourFanout = 3
 	// strangerShare is the part of the rounds that goes to any known node, so
 	// that groups that lost sight of each other meet again.
@@ -111,23 +112,23 @@
 // Self returns the node's own record.
 func (r *Roster) Self() Record { return r.self }
 
-// Update changes the node's own record. Partners hear of it at once if urgent.
+// Update changes the node's own record. Some nodes hear of it at once if urgent.
 func (r *Roster) Update(urgent bool, change func(*Record)) {
 	change(&r.self)
 	r.self.Serial++
 	if urgent {
-		r.rumour(News{Records: []Record{r.self}}, "")
+		r.rumour(News{Records: []Record{r.self}})
 	}
 }
 
-// SetVersion sets the version of the declaration that the node holds. Partners
+// SetVersion sets the version of the declaration that the node holds. Some nodes
 // hear of a newer one at once.
 func (r *Roster) SetVersion(version uint64) {
 	if version <= r.version {
 		return
 	}
 	r.version = version
-	r.rumour(Digest{From: r.self.Member, Claim: r.self.Claim, Version: version}, "")
+	r.rumour(Digest{From: r.self.Member, Claim: r.self.Claim, Version: version})
 }
 
 // Synced reports whether the node has heard of the rest of the fleet.
@@ -178,7 +179,7 @@
 	}
 	r.self.Claim = other.Claim + 1
 	r.self.Serial++
-	r.rumour(News{Records: []Record{r.self}}, "")
+	r.rumour(News{Records: []Record{r.self}})
 }
 
 // Changed reports whether the set of usable nodes may have changed since the
@@ -229,21 +230,11 @@
 		live = silent
 	}
 	slices.SortFunc(live, func(a, b Record) int {
-		return compareHosts(a.Member.Node.Host, b.Member.Node.Host)
+		return cmp.Compare(a.Member.Node.Host, b.Member.Node.Host)
 	})
 	return live
 }
 
-func compareHosts(a, b mesh.Host) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Tick sends the digest of a round when it is due, and returns what is to be
 // sent.
 func (r *Roster) Tick(now time.Duration) []Outgoing {
@@ -294,17 +285,7 @@
 	if len(members) <= partners {
 		return members
 	}
-	key := string(r.self.Member.Node.Host)
-	slices.SortFunc(members, func(a, b mesh.Member) int {
-		x, y := mesh.RendezvousScore(key, a.Node), mesh.RendezvousScore(key, b.Node)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return compareHosts(a.Node.Host, b.Node.Host)
-	})
+	mesh.RankMembers(string(r.self.Member.Node.Host), members)
 	return members[:partners]
 }
 
@@ -315,7 +296,7 @@
 			members = append(members, e.record.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b mesh.Member) int { return compareHosts(a.Node.Host, b.Node.Host) })
+	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(a.Node.Host, b.Node.Host) })
 	return members
 }
 
@@ -323,19 +304,12 @@
 	r.outgoing = append(r.outgoing, Outgoing{To: to, Message: m})
 }
 
-// rumour tells some partners at once. except is not told.
-func (r *Roster) rumour(m mesh.Message, except mesh.Host) {
+// rumour tells some of the known nodes at once.
+func (r *Roster) rumour(m mesh.Message) {
 	candidates := r.reachable()
 	r.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	told := 0
-	for _, to := range candidates {
-		if to.Node.Host == except {
-			continue
-		}
+	for _, to := range candidates[:min(rumourFanout, len(candidates))] {
 		r.send(to, m)
-		if told++; told == rumourFanout {
-			return
-		}
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -71,8 +71,8 @@
 				n.raw[d.to] = max(n.raw[d.to], m.Version)
 				r.SetVersion(m.Version)
 			}
-			if needs := r.Deliver(n.now, d.message); needs.Lacks && n.raw[d.to] > 0 {
-				n.deliver(d.to, []Outgoing{{needs.SendDeclaration, Declaration{Version: n.raw[d.to]}}})
+			if to, lacks := r.Deliver(n.now, d.message); lacks && n.raw[d.to] > 0 {
+				n.deliver(d.to, []Outgoing{{to, Declaration{Version: n.raw[d.to]}}})
 			}
 			n.deliver(d.to, r.Outgoing())
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,18 +39,30 @@
 
 // Parse reads and checks settings. The error is an inifile.Problems.
 func Parse(file string, data []byte) (Settings, error) {
-	var problems inifile.Problems
-	sections := map[string]*inifile.Section{}
-	for _, s := range inifile.Load(file, data, &problems) {
-		if sections[s.Name] != nil {
+	p := newParser(file, data)
+	settings := p.read()
+	p.refuseRest()
+	return settings, p.problems.Err()
+}
+
+// newParser splits a file into sections.
+func newParser(file string, data []byte) *parser {
+	p := &parser{file: file, sections: map[string]*inifile.Section{}, problems: &inifile.Problems{}}
+	for _, s := range inifile.Load(file, data, p.problems) {
+		if p.sections[s.Name] != nil {
 			s.Refuse("", "section is given twice")
 			continue
 		}
-		sections[s.Name] = s
+		p.sections[s.Name] = s
+	}
+	return p
+}
+
+// refuseRest refuses the sections that nothing has read.
+func (p *parser) refuseRest() {
+	for _, name := range slices.Sorted(maps.Keys(p.sections)) {
+		p.sections[name].Refuse("", "unknown section")
 	}
-	p := parser{file: file, sections: sections, problems: &problems}
-	settings := p.read()
-	return settings, problems.Err()
 }
 
 type parser struct {
@@ -96,9 +108,6 @@
 		}
 		copy(s.OperatorTokenHash[:], hash)
 	})
-	for _, name := range slices.Sorted(maps.Keys(p.sections)) {
-		p.sections[name].Refuse("", "unknown section")
-	}
 	return s
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -1,9 +1,7 @@
 package settings
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"cardamomhatch/internal/inifile"
@@ -53,18 +51,10 @@
 
 // ParseSidecar reads and checks settings. The error is an inifile.Problems.
 func ParseSidecar(file string, data []byte) (Sidecar, error) {
-	var problems inifile.Problems
-	sections := map[string]*inifile.Section{}
-	for _, s := range inifile.Load(file, data, &problems) {
-		if sections[s.Name] != nil {
-			s.Refuse("", "section is given twice")
-			continue
-		}
-		sections[s.Name] = s
-	}
-	p := parser{file: file, sections: sections, problems: &problems}
+	p := newParser(file, data)
 	s := p.readSidecar()
-	return s, problems.Err()
+	p.refuseRest()
+	return s, p.problems.Err()
 }
 
 func (p *parser) readSidecar() Sidecar {
@@ -86,9 +76,6 @@
 		s.Store = p.address(sec, "address", sec.Text("address"), false)
 	})
 	p.with("terms", func(sec *inifile.Section) { s.Terms = readTerms(sec) })
-	for _, name := range slices.Sorted(maps.Keys(p.sections)) {
-		p.sections[name].Refuse("", "unknown section")
-	}
 	return s
 }
 
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -49,7 +49,6 @@
 	request := exchange.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.r.Header, Body: c.attemptBody(),
 	}
-	c.sent = true
 	if n.isSelf(target) {
 		s := n.serveUpstream(c.context(), &work{hop: h, id: c.id, request: request})
 		a.answer, a.refusal, a.done = s.answer, s.refusal, s.done
@@ -146,7 +145,7 @@
 // again decides whether the request is sent to another node.
 func (c *call) again(a *attempt) bool {
 	r := a.refusal
-	if c.context().Err() != nil || c.stream && c.sent || c.deadline-c.n.now() < leastRemaining {
+	if c.context().Err() != nil || c.stream || c.deadline-c.n.now() < leastRemaining {
 		return false
 	}
 	switch r.Reason {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -56,8 +56,7 @@
 	arrived   time.Duration
 	deadline  time.Duration // of the answer
 	body      []byte
-	stream    bool // body is not held
-	sent      bool // the stream has been given away
+	stream    bool // body is not held, so there is one attempt
 	charged   bool // a token of the workspace was taken
 	attempts  int  // attempts that may have reached an upstream
 	tried     []mesh.NodeID
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -35,7 +35,7 @@
 		ctx, cancel := n.context(followWait + storeTimeout)
 		raw, next, err := n.cfg.Source.Next(ctx, cursor, followWait)
 		cancel()
-		if n.ended() {
+		if n.life.Err() != nil {
 			return
 		}
 		if err != nil {
@@ -61,15 +61,6 @@
 	}
 }
 
-func (n *Node) ended() bool {
-	select {
-	case <-n.stop:
-		return true
-	default:
-		return false
-	}
-}
-
 func (n *Node) version() uint64 {
 	if c := n.current.Load(); c != nil {
 		return c.Version
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -180,7 +180,7 @@
 			_ = s.Shutdown(ctx)
 		}
 		n.cfg.Log.Write(eventlog.Lifecycle, "stopped", "cut_off", n.open.Load())
-		close(n.stop)
+		n.endLife()
 		for _, s := range n.servers {
 			s.Close()
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -28,7 +28,7 @@
 
 const (
 	dialTimeout       = 500 * time.Millisecond // to a peer or the upstream
-	peerIdle          = 4 * time.Second        // memory is priced by its peak, a connection between nodes is not
+	peerIdle          = 4 * time.Second        // an idle connection takes memory on both sides
 	upstreamIdle      = 60 * time.Second       // an upstream states its own limit, mostly
 	callerIdle        = 75 * time.Second       // above the idle time that a platform grants callers
 	readHeaderTimeout = 10 * time.Second
@@ -50,8 +50,9 @@
 	control *peer.Client
 	local   *exchange.Pool // to the upstream
 	nextID  atomic.Uint64
-	open    atomic.Int64 // requests under way
-	stop    chan struct{}
+	open    atomic.Int64    // requests under way
+	life    context.Context // ends with the node
+	endLife context.CancelFunc
 	stopped sync.Once
 	loops   sync.WaitGroup
 
@@ -89,7 +90,6 @@
 		cfg:     cfg,
 		started: time.Now(),
 		metrics: newNodeMetrics(cfg.Metrics),
-		stop:    make(chan struct{}),
 		roster:  roster.New(cfg.Self, cfg.Claim, cfg.Seed),
 		tracker: upstream.New(upstream.Config{
 			Service: cfg.Self.Service, Address: cfg.UpstreamAddress,
@@ -111,6 +111,7 @@
 		paths:   pressure.NewPaths(),
 		running: map[uint64]*running{},
 	}
+	n.life, n.endLife = context.WithCancel(context.Background())
 	n.local = exchange.New(exchange.Config{
 		Address: cfg.UpstreamAddress, DialTimeout: dialTimeout, IdleTimeout: upstreamIdle,
 		Opened: func() { n.metrics.upstreamConnections.Inc(1) },
@@ -140,7 +141,7 @@
 	n.loop(n.publish)
 	n.loop(n.probe)
 	n.loop(n.trim)
-	n.cfg.Log.Write(eventlog.Lifecycle, "started", "host", n.cfg.Self.Node.Host, "incarnation", uint64(n.cfg.Self.Node.Incarnation),
+	n.cfg.Log.Write(eventlog.Lifecycle, "started", "incarnation", uint64(n.cfg.Self.Node.Incarnation),
 		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service)
 }
 
@@ -178,23 +179,14 @@
 	select {
 	case <-t.C:
 		return true
-	case <-n.stop:
+	case <-n.life.Done():
 		return false
 	}
 }
 
 // context returns a context that ends after the limit or with the node.
 func (n *Node) context(limit time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	stop := make(chan struct{})
-	go func() {
-		select {
-		case <-n.stop:
-			cancel()
-		case <-stop:
-		}
-	}()
-	return ctx, func() { close(stop); cancel() }
+	return context.WithTimeout(n.life, limit)
 }
 
 // tick drives what depends on time alone.
@@ -203,7 +195,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-n.stop:
+		case <-n.life.Done():
 			return
 		case <-ticker.C:
 			n.mu.Lock()
@@ -254,11 +246,11 @@
 		n.sendTokens(out)
 		return
 	}
-	needs := n.roster.Deliver(n.now(), e.Message)
+	to, lacks := n.roster.Deliver(n.now(), e.Message)
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
-	if needs.Lacks && n.raw != nil {
-		out = append(out, roster.Outgoing{To: needs.SendDeclaration, Message: roster.Declaration{Version: n.current.Load().Version, Raw: n.raw}})
+	if lacks && n.raw != nil {
+		out = append(out, roster.Outgoing{To: to, Message: roster.Declaration{Version: n.current.Load().Version, Raw: n.raw}})
 	}
 	n.mu.Unlock()
 	n.send(out)
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -51,7 +51,7 @@
 	}
 	n.mu.Lock()
 	delete(n.takers, id)
-	abandoned := n.ledger.Abandon(n.now(), w, id)
+	abandoned := n.ledger.Abandon(w, id)
 	n.mu.Unlock()
 	if abandoned {
 		return false
@@ -112,18 +112,19 @@
 		return true
 	}
 	for w, d := range current {
-		if changed(old[w], d) {
+		if notable(old[w], d) {
 			return true
 		}
 	}
 	for w, d := range old {
-		if _, ok := current[w]; !ok && changed(d, 0) {
+		if _, ok := current[w]; !ok && notable(d, 0) {
 			return true
 		}
 	}
 	return false
 }
 
-func changed(a, b float64) bool {
+// notable reports whether the difference of two demands is worth telling.
+func notable(a, b float64) bool {
 	return math.Abs(a-b) > max(demandStep, demandChange*max(a, b))
 }
