Report how long ago the store last answered a read of the declaration

The lines about a lost and a regained store and two metrics now state the age of the last answer and of the open read.

--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -184,6 +184,8 @@
 	gauge("upstream.announced_ms", n.tracker.Age(now).Milliseconds())
 	n.mu.Unlock()
 	gauge("requests.open", n.openRequests.Load())
+	gauge("store.read_open_ms", n.since(&n.readBegan).Milliseconds())
+	gauge("store.answered_ms", n.since(&n.storeAnswered).Milliseconds())
 	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	var text bytes.Buffer
 	metricstext.Write(&text, n.cfg.Metrics)
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -43,6 +43,7 @@
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost := false
 	for {
+		n.readBegan.Store(int64(n.now()))
 		ctx, cancel := n.context(readWait + storeTimeout)
 		raw, next, err := n.cfg.Source.Next(ctx, cursor, readWait)
 		cancel()
@@ -52,7 +53,8 @@
 		if err != nil {
 			n.metrics.storeFailures.Inc(1)
 			if !storeLost {
-				n.cfg.Log.Write(eventlog.Lifecycle, "store lost", "err", err, "declaration", n.declarationVersion())
+				n.cfg.Log.Write(eventlog.Lifecycle, "store lost", "err", err, "declaration", n.declarationVersion(),
+					"read_open_ms", n.since(&n.readBegan).Milliseconds(), "answered_ms", n.since(&n.storeAnswered).Milliseconds())
 			}
 			storeLost = true
 			if !n.pause(backoff.Next()) {
@@ -61,9 +63,11 @@
 			continue
 		}
 		if storeLost {
-			n.cfg.Log.Write(eventlog.Lifecycle, "store regained", "declaration", n.declarationVersion())
+			n.cfg.Log.Write(eventlog.Lifecycle, "store regained", "declaration", n.declarationVersion(),
+				"answered_ms", n.since(&n.storeAnswered).Milliseconds())
 			storeLost = false
 		}
+		n.storeAnswered.Store(int64(n.now()))
 		backoff.Reset()
 		cursor = next
 		if raw == nil {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -217,6 +218,35 @@
 	}
 }
 
+// An operator must be able to tell a read that the store never answers from one that waits
+// for news: the line about a lost store and the metrics state how old the last answer is.
+func TestAgeOfTheLastStoreAnswerIsReported(t *testing.T) {
+	s, a, _, _ := startSmallMesh(t)
+	time.Sleep(100 * time.Millisecond)
+	s.mu.Lock()
+	s.unavailable["a"] = true
+	s.mu.Unlock()
+	s.declare(shopDeclaration) // ends the open read, after which the next one fails
+	eventually(t, "the store is logged as lost", func() bool {
+		for _, line := range a.log.lines() {
+			if line["msg"] == "store lost" {
+				if ms, ok := line["answered_ms"].(float64); !ok || ms < 100 {
+					t.Errorf("store lost has answered_ms %v, want at least 100", line["answered_ms"])
+				}
+				return true
+			}
+		}
+		return false
+	})
+	recorder := httptest.NewRecorder()
+	a.node.serveMetrics(recorder, nil)
+	for _, name := range []string{"store.answered_ms ", "store.read_open_ms "} {
+		if !strings.Contains(recorder.Body.String(), name) {
+			t.Errorf("metric %s is missing", name)
+		}
+	}
+}
+
 // Several declarations in quick succession must not cause one read each, and the last
 // one must come into force.
 func TestDeclarationsInQuickSuccession(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -65,6 +65,9 @@
 	stopping  atomic.Bool
 	stopBegan atomic.Int64 // value of now() at the start of the stop, in ns
 
+	readBegan     atomic.Int64 // value of now() at the start of the last read of the declaration, in ns
+	storeAnswered atomic.Int64 // value of now() at the last response to such a read, in ns; zero before the first
+
 	mu             sync.Mutex // guards the fields below
 	rawDeclaration []byte     // the declaration as stored, for peers that lack it
 	roster         *roster.Roster
@@ -129,6 +132,11 @@
 // now returns the time since the node was created, by a monotonic clock.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
+// since returns the time since a recorded value of now().
+func (n *Node) since(began *atomic.Int64) time.Duration {
+	return n.now() - time.Duration(began.Load())
+}
+
 // Start starts the listeners and the background loops. It does not block.
 func (n *Node) Start() {
 	l := n.cfg.Listeners
