--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -35,14 +35,26 @@
 	mu          sync.Mutex
 	version     uint64
 	declaration func(version uint64) catalog.Declaration
-	changed     chan struct{}        // closed when a new version is stored
-	nodes       map[mesh.Host][]byte // published records
-	unavailable map[string]bool      // hosts to which the store does not respond; "" stands for all hosts
-	reads       map[string]int       // reads of the declaration, by host
+	changed     chan struct{}         // closed when a new version is stored
+	nodes       map[mesh.Host][]byte  // published records
+	unavailable map[string]bool       // hosts to which the store does not respond; "" stands for all hosts
+	reads       map[string]int        // reads of the declaration, by host
+	openReads   map[int]chan struct{} // by number of the read; closed when its response is lost
+	lastRead    int                   // number of the last read
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, changed: make(chan struct{}), nodes: map[mesh.Host][]byte{}, unavailable: map[string]bool{}, reads: map[string]int{}}
+	return &store{version: 1, declaration: d, changed: make(chan struct{}), nodes: map[mesh.Host][]byte{}, unavailable: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+}
+
+// loseOpenReads makes the store never respond to the reads that are open now.
+func (s *store) loseOpenReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for number, lost := range s.openReads {
+		close(lost)
+		delete(s.openReads, number)
+	}
 }
 
 // declare stores d as a new version of the declaration.
@@ -74,9 +86,18 @@
 }
 
 func (c storeClient) Next(ctx context.Context, after Cursor, wait time.Duration) ([]byte, Cursor, error) {
+	lost := make(chan struct{})
 	c.mu.Lock()
 	c.reads[c.host]++
+	c.lastRead++
+	number := c.lastRead
+	c.openReads[number] = lost
 	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.openReads, number)
+	}()
 	for {
 		if err := c.checkAvailable(); err != nil {
 			return nil, after, err
@@ -89,6 +110,9 @@
 		}
 		select {
 		case <-changed:
+		case <-lost:
+			<-ctx.Done()
+			return nil, after, ctx.Err()
 		case <-ctx.Done():
 			return nil, after, ctx.Err()
 		case <-time.After(wait):
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -247,6 +247,21 @@
 	}
 }
 
+// A declaration must be in force within 3 s everywhere although the store has silently
+// dropped the open reads of all nodes, so that no peer has the declaration either.
+func TestDeclarationAfterAllOpenReadsWereLost(t *testing.T) {
+	s, a, b, c := startSmallMesh(t)
+	time.Sleep(minReadInterval + 200*time.Millisecond) // until the read after the first declaration is open
+	s.loseOpenReads()
+	s.declare(shopDeclaration)
+	time.Sleep(3 * time.Second)
+	for _, h := range []*host{a, b, c} {
+		if v := h.node.declarationVersion(); v != 2 {
+			t.Errorf("version %d is in force at %s, want 2", v, h.node.cfg.Self.Node.Host)
+		}
+	}
+}
+
 // Several declarations in quick succession must not cause one read each, and the last
 // one must come into force.
 func TestDeclarationsInQuickSuccession(t *testing.T) {
