Bound the wait for a lost response to a read of the declaration

The store dropped the open reads of all nodes during an outage without closing their connections, and no peer had a newer version. Evidence: no node called the store between 5 and 37 s, while the store acknowledged 24 versions; ruled out by the same records are refused records (declarations.refused 0, no further read) and failing calls (store.failures 0).

A timeout by the context invalidates the pool, because idle connections of the same moment may be silent, too.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,7 +73,8 @@
 
 // Do sends a request and returns its response once the header has been read. If ctx
 // ends before the response is closed, the connection is closed. Errors are of type
-// *Failure. If sending or reading times out, the pool is invalidated.
+// *Failure. If sending or reading times out, by the deadline of the request or of ctx, the
+// pool is invalidated.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.get(ctx, r.MaxIdle)
 	if err != nil {
@@ -90,7 +91,7 @@
 		resp.stopWatch()
 		c.Close()
 		var timeout interface{ Timeout() bool }
-		timedOut := errors.As(err, &timeout) && timeout.Timeout()
+		timedOut := (errors.As(err, &timeout) && timeout.Timeout()) || errors.Is(ctx.Err(), context.DeadlineExceeded)
 		if timedOut {
 			p.Invalidate()
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -228,6 +229,44 @@
 	}
 }
 
+// Connections of a server can go silent all at once, without a reset. After a request that
+// timed out by its context, no idle connection of that time may be used.
+func TestTimeoutOfContextInvalidatesIdleConnections(t *testing.T) {
+	var silent atomic.Bool
+	address, accepted := startUpstream(t, func(_ int, c net.Conn, r *http.Request) bool {
+		if !silent.Load() {
+			time.Sleep(20 * time.Millisecond) // so that concurrent requests need connections of their own
+			io.WriteString(c, rawResponse(r.Header.Get("X-Id"), "ok"))
+		}
+		return true
+	})
+	p := New(Config{Address: address, DialTimeout: time.Second})
+	var wg sync.WaitGroup
+	for _, id := range []string{"a", "b"} {
+		wg.Go(func() {
+			if _, err := fetch(t, p, newGet(id)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	before := accepted.Load()
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var failure *Failure
+	if _, err := p.Do(ctx, newGet("c")); !errors.As(err, &failure) || !failure.Timeout {
+		t.Fatalf("request without a response gave %v, want a timeout", err)
+	}
+	silent.Store(false)
+	if _, err := fetch(t, p, newGet("d")); err != nil {
+		t.Fatal(err)
+	}
+	if got := accepted.Load() - before; got != 1 {
+		t.Errorf("%d connections were opened after the timeout, want 1", got)
+	}
+}
+
 // When the context ends because the caller has disconnected, the connection must be
 // closed, so that the upstream can stop its work.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -2,29 +2,27 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/roster"
+	"cardamomhatch/internal/watch"
 )
 
 const (
-	// readWait is how long one read of the declaration waits for a newer version. It
-	// is the longest wait that the platform allows, because the platform counts each
-	// read as a store call. TCP keep-alive detects a connection that fails during the
-	// wait.
-	readWait = 30 * time.Second
 	// minReadInterval is the least time from a declaration to the next read, so that
 	// several changes in quick succession need only one read. It is well below the two
 	// seconds within which operators expect a change to be in force.
 	minReadInterval = 400 * time.Millisecond
-	// storeTimeout is the time limit of a store call. For reads of the declaration it is
-	// added to readWait, so that a slow store has time to respond.
+	// storeTimeout is the time limit of a store call other than a read of the declaration.
 	storeTimeout = 3 * time.Second
 	// maxStoreBackoff is the longest pause after a failed store call.
 	maxStoreBackoff = 700 * time.Millisecond
@@ -40,12 +38,15 @@
 // until the node shuts down.
 func (n *Node) followDeclaration() {
 	var cursor Cursor
+	planner := watch.NewPlanner(n.cfg.Seed)
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost := false
 	for {
 		n.readBegan.Store(int64(n.now()))
-		ctx, cancel := n.context(readWait + storeTimeout)
-		raw, next, err := n.cfg.Source.Next(ctx, cursor, readWait)
+		plan := planner.Next(n.fleetSize())
+		ctx, cancel := n.context(plan.Limit())
+		raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
+		unanswered := errors.Is(ctx.Err(), context.DeadlineExceeded)
 		cancel()
 		if n.runCtx.Err() != nil {
 			return
@@ -57,6 +58,11 @@
 					"read_open_ms", n.since(&n.readBegan).Milliseconds(), "answered_ms", n.since(&n.storeAnswered).Milliseconds())
 			}
 			storeLost = true
+			if unanswered {
+				planner.Unanswered() // the next read starts at once, because this one took long enough
+				continue
+			}
+			planner.Answered()
 			if !n.pause(backoff.Next()) {
 				return
 			}
@@ -68,6 +74,7 @@
 			storeLost = false
 		}
 		n.storeAnswered.Store(int64(n.now()))
+		planner.Answered()
 		backoff.Reset()
 		cursor = next
 		if raw == nil {
@@ -80,6 +87,13 @@
 	}
 }
 
+// fleetSize returns the number of nodes that this node knows of, itself included.
+func (n *Node) fleetSize() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Len()
+}
+
 // declarationVersion returns the version of the declaration in force, or zero without one.
 func (n *Node) declarationVersion() uint64 {
 	if c := n.current.Load(); c != nil {
