Do not let the first read of the declaration wait for news

A starting node has no position at the store, so its read is answered at once. TestFirstReadDoesNotWait does not compile without the change.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -43,7 +43,7 @@
 	storeLost := false
 	for {
 		n.readBegan.Store(int64(n.now()))
-		plan := planner.Next(n.fleetSize())
+		plan := planner.Next(n.fleetSize(), !cursor.Known)
 		ctx, cancel := n.context(plan.Limit())
 		raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
 		unanswered := errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -48,9 +48,10 @@
 }
 
 // Next returns the plan of the next read of a node that knows of the given number of
-// nodes, itself included.
-func (p *Planner) Next(nodes int) Read {
-	if p.unanswered > 0 {
+// nodes, itself included. first states that the node has no position at the store yet, so
+// that there is nothing to wait for.
+func (p *Planner) Next(nodes int, first bool) Read {
+	if first || p.unanswered > 0 {
 		return Read{AnswerLimit: min(minAnswerLimit<<p.unanswered, maxAnswerLimit)}
 	}
 	// The reads of all nodes start at the same moment after each declaration. The random
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -25,7 +25,7 @@
 // read starts the next read of a node and returns how long it takes.
 func (f *fleet) read(i int) time.Duration {
 	f.reads++
-	plan := f.nodes[i].Next(len(f.nodes))
+	plan := f.nodes[i].Next(len(f.nodes), false)
 	if f.latency > plan.AnswerLimit {
 		f.nodes[i].Unanswered()
 		return plan.Limit()
@@ -50,7 +50,7 @@
 		for i := range nodes {
 			p := NewPlanner(uint64(i))
 			for range 50 {
-				if limit := p.Next(nodes).Limit(); limit >= 3*time.Second {
+				if limit := p.Next(nodes, false).Limit(); limit >= 3*time.Second {
 					t.Fatalf("%d nodes: a read that is lost ends after %v, want less than 3 s", nodes, limit)
 				}
 			}
@@ -64,7 +64,7 @@
 	for _, nodes := range []int{300, 2500, 25000} {
 		soon := 0
 		for i := range nodes {
-			if NewPlanner(uint64(i)).Next(nodes).Limit() < 3*time.Second {
+			if NewPlanner(uint64(i)).Next(nodes, false).Limit() < 3*time.Second {
 				soon++
 			}
 		}
@@ -95,7 +95,7 @@
 	p := NewPlanner(1)
 	const latency = 1900 * time.Millisecond
 	for attempt := 1; ; attempt++ {
-		plan := p.Next(16)
+		plan := p.Next(16, false)
 		if attempt > 1 && plan.Wait != 0 {
 			t.Errorf("read %d after a lost one waits %v for news, want 0", attempt, plan.Wait)
 		}
@@ -108,7 +108,7 @@
 		p.Unanswered()
 	}
 	p.Answered()
-	if plan := p.Next(16); plan.Wait < time.Second {
+	if plan := p.Next(16, false); plan.Wait < time.Second {
 		t.Errorf("the read after an answered one waits %v, want at least 1 s", plan.Wait)
 	}
 }
@@ -122,3 +122,11 @@
 		t.Errorf("%d reads in a minute, want 28 to 40", f.reads)
 	}
 }
+
+// A node that starts while the store drops responses must ask again before it has waited
+// for news: it knows no declaration and refuses all requests.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	if plan := NewPlanner(1).Next(1, true); plan.Wait != 0 || plan.Limit() >= time.Second {
+		t.Errorf("the first read waits %v and fails after %v, want 0 and less than 1 s", plan.Wait, plan.Limit())
+	}
+}
