Keep the limit on requests per second that an upstream names

Cause: nothing read the header. All requests for an upstream pass through the node beside it, so its gate now keeps the limit with a token bucket, without messages between nodes.

What exceeds the limit is refused at once as upstream-limited while another upstream of the service names none; the entry node then leaves that upstream alone for the time in which each entry node gets one request. If all are limited, requests wait in the queue by importance and the cut counts what the limit leaves.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -70,6 +70,7 @@
 	DecisionExpired // the process was paused between the decision and its execution
 	TooLarge
 	UpstreamShed
+	UpstreamLimited // the upstream names a limit on its requests per second, which is used up
 
 	numReasons
 )
@@ -112,6 +113,7 @@
 	DecisionExpired:  {"decision-expired", http.StatusServiceUnavailable},
 	TooLarge:         {"too-large", http.StatusRequestEntityTooLarge},
 	UpstreamShed:     {"upstream-shed", http.StatusServiceUnavailable},
+	UpstreamLimited:  {"upstream-limited", http.StatusServiceUnavailable},
 }
 
 // String returns the name of the reason in the wire format.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -65,6 +65,7 @@
 	Phase    Phase
 	Instance string                     // usually identifies one start of the upstream
 	Slots    int                        // requests that the upstream can run at the same time
+	Limited  bool                       // the upstream names a limit on its requests per second
 	Stopping bool                       // the node accepts no new work and shuts down soon
 	Left     bool                       // the node has shut down cleanly
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,6 +20,7 @@
 	Lost              // no connection, or the connection broke
 	NotServing        // the node accepts no work: its upstream is draining or absent
 	Cancelled         // the caller cancelled the call, which says nothing about the node
+	Limited           // the limit that the upstream names on its requests per second is used up
 )
 
 // Report is the load of a node's upstream as the node reports it. The zero value means
@@ -35,8 +36,9 @@
 	Latency time.Duration
 	Result  Result
 	Report  Report
-	Route   string // of the request; if it is empty, the measurements by route are not updated
-	Bytes   int64  // of the request and response bodies
+	Route   string        // of the request; if it is empty, the measurements by route are not updated
+	Bytes   int64         // of the request and response bodies
+	Pause   time.Duration // of a Limited attempt: mean time for which the node is to get no request
 }
 
 // Config holds the parameters of a table.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -45,6 +45,7 @@
 	notServing       bool          // it refused a call because it accepts no work
 	reportFactor     float64       // factor of the cost by the last report, at least 1
 	reportAt         time.Duration
+	pausedUntil      time.Duration // end of the pause that a Limited attempt asked for
 	lastReport       Report
 	inFlightAtReport int     // attempts in flight when the report arrived
 	relativeLatency  float64 // latency of responses, relative to the mean of their routes; zero: not known
@@ -63,6 +64,8 @@
 		n.addResponse(now, s.Latency)
 	case Refused:
 		n.penalty = min(n.penalty+refusedPenalty, maxPenalty)
+	case Limited:
+		n.pausedUntil = now + s.Pause
 	case Failed:
 		n.failures++
 		n.penalty = min(n.penalty+failedPenalty, maxPenalty)
@@ -118,6 +121,9 @@
 	n.lastReport, n.inFlightAtReport = r, n.inFlight
 }
 
+// excludedUntil returns the end of the last suspension or pause.
+func (n *node) excludedUntil() time.Duration { return max(n.suspendedUntil, n.pausedUntil) }
+
 // decayedPenalty returns the penalty at the given time, after its exponential decay.
 func (n *node) decayedPenalty(now time.Duration) float64 {
 	if n.penalty == 0 {
@@ -130,6 +136,9 @@
 // not usable. After a suspension, a node gets one attempt at a time until it has responded,
 // and none of the critical class.
 func (n *node) usable(now time.Duration, class mesh.Class) bool {
+	if now < n.pausedUntil {
+		return false
+	}
 	if n.suspension == 0 {
 		return true
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -163,7 +163,7 @@
 	return ramping
 }
 
-// fallback returns the candidate whose suspension ends first; among equals, the one with the
+// fallback returns the candidate whose suspension or pause ends first; among equals, the one with the
 // fewest attempts in flight. It returns exclude only if there is no other.
 func (t *Table) fallback(now time.Duration, s *service, exclude mesh.NodeID) *node {
 	var best *node
@@ -171,7 +171,7 @@
 		if c.member.Node == exclude {
 			continue
 		}
-		if best == nil || c.suspendedUntil < best.suspendedUntil || (c.suspendedUntil == best.suspendedUntil && c.inFlight < best.inFlight) {
+		if best == nil || c.excludedUntil() < best.excludedUntil() || (c.excludedUntil() == best.excludedUntil() && c.inFlight < best.inFlight) {
 			best = c
 		}
 	}
@@ -209,6 +209,10 @@
 	if n == nil {
 		return
 	}
+	if sample.Result == Limited {
+		// The pauses differ, so that the nodes that were refused do not all return at once.
+		sample.Pause = time.Duration((0.5 + t.randomFraction()) * float64(sample.Pause))
+	}
 	n.addSample(now, sample)
 	if sample.Result == OK && sample.Route != "" {
 		t.recordResponse(n, sample)
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -126,6 +126,10 @@
 	default:
 		sample.Result = routingResult(a.refusal)
 	}
+	if a.refusal.Reason == outcome.UpstreamLimited {
+		// The pause is meant for this node. Other upstreams may take the caller's retry earlier.
+		sample.Pause, a.refusal.RetryAfter = a.refusal.RetryAfter, 0
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.table.RecordEnd(n.now(), target.Node, sample)
@@ -141,6 +145,8 @@
 		return routing.Cancelled
 	case outcome.Overloaded, outcome.QueueTimeout, outcome.UpstreamShed:
 		return routing.Refused
+	case outcome.UpstreamLimited:
+		return routing.Limited
 	case outcome.Draining, outcome.NoUpstream:
 		return routing.NotServing
 	case outcome.ConnectFailed, outcome.PeerLost:
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -30,9 +30,13 @@
 	Instance      string // instance of the upstream that the request is meant for
 	NotRun        string // set by an upstream that did not run the request
 	Load          string // load of the upstream
+	RateLimit     string // requests per second that the upstream takes from all nodes together
 	ProbeInstance string // instance of the upstream that answers a health probe
 	// ParseLoad parses the value of the Load header.
 	ParseLoad func(string) (Load, bool)
+	// ParseRateLimit parses the value of the RateLimit header, in requests per second. It
+	// returns false if the header is missing or malformed.
+	ParseRateLimit func(string) (float64, bool)
 }
 
 // Load is the load that an upstream reports. Slots is the number of requests that it can
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -26,8 +26,12 @@
 
 var dialect = Dialect{
 	RequestID: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
-	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", ProbeInstance: "X-Answerer",
+	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, ProbeInstance: "X-Answerer",
 	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+	ParseRateLimit: func(value string) (float64, bool) {
+		limit, err := strconv.ParseFloat(value, 64)
+		return limit, err == nil
+	},
 }
 
 // store is an in-memory source of declarations and directory of nodes.
--- a/internal/sidecar/limit_test.go
+++ b/internal/sidecar/limit_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"cardamomhatch/internal/upstream"
 )
 
 const limitHeader = "X-Limit" // requests a second that the upstream takes from all nodes
@@ -80,10 +82,30 @@
 	return served, sent
 }
 
+// keepAnnouncing announces the upstreams of the hosts as ready until the test ends.
+func keepAnnouncing(t *testing.T, hosts ...*host) {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	t.Cleanup(func() { close(stop); wg.Wait() })
+	wg.Go(func() {
+		for sequence := uint64(100); ; sequence++ {
+			for _, h := range hosts {
+				h.announce(upstream.Ready, sequence)
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(bounds.Heartbeat / 2):
+			}
+		}
+	})
+}
+
 // An upstream that names a limit must not get more from all nodes together, while another
 // one has room for all requests. Once it names none, it must get its part again.
 func TestUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
+	keepAnnouncing(t, a, b, c)
 	const (
 		perSecond = 10.0
 		window    = 4 * time.Second
@@ -91,8 +113,12 @@
 	var seen arrivals
 	named := true
 	var mu sync.Mutex
-	a.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
+	// With equal times at both upstreams, the choice between them does not depend on noise.
+	work := func(*host, http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) }
+	b.setHandler(work)
+	a.setHandler(func(h *host, w http.ResponseWriter, r *http.Request) {
 		seen.add()
+		work(h, w, r)
 		mu.Lock()
 		defer mu.Unlock()
 		if named {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -119,6 +119,7 @@
 		callGraph:    pressure.NewCallGraph(),
 	}
 	n.inFlight = pressure.NewInFlight(n.callGraph)
+	n.gate.AwaitAnswer()
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.upstreamPool = exchange.New(exchange.Config{
 		Address: cfg.UpstreamAddress, DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout,
@@ -217,7 +218,9 @@
 			now := n.now()
 			n.publishPhase(now)
 			n.refreshLimiter(now)
+			n.updateSpill(now)
 			n.updateCut(now)
+			n.dispatchQueued(now) // the rate limit of the upstream may allow more requests now
 			out := n.roster.Tick(now)
 			n.refreshTable(now)
 			n.mu.Unlock()
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -41,7 +41,12 @@
 // updateCut recalculates the overload cut of the local upstream and logs large
 // changes. n.mu must be held.
 func (n *Node) updateCut(now time.Duration) {
-	n.cut = n.meter.Cut(now, float64(n.gate.Limit()), n.gate.Queued())
+	// What a named limit holds back runs at other upstreams of the service, if it spills.
+	capacity, queued := n.gate.Capacity(), n.gate.Queued()
+	if n.gate.Spills() {
+		capacity = float64(n.gate.Limit())
+	}
+	n.cut = n.meter.Cut(now, capacity, queued)
 	if now-n.cutLoggedAt < cutLogInterval || n.cut.Distance(n.loggedCut) < cutLogStep {
 		return
 	}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -74,8 +74,9 @@
 		ID: id, Level: req.Level, Nested: req.Nested, LatestStart: now + req.MaxWait, Deadline: deadline,
 	})
 	if verdict != slots.Wait {
+		refusal := n.slotRefusal(reason)
 		n.mu.Unlock()
-		return n.refusal(outcome.NotRun, reason, ""), verdict == slots.Run
+		return refusal, verdict == slots.Run
 	}
 	decisions := make(chan slots.Decision, 1)
 	n.slotWaiters[id] = decisions
@@ -84,15 +85,20 @@
 	defer timer.Stop()
 	select {
 	case decision := <-decisions:
-		return n.refusal(outcome.NotRun, decision.Reason, ""), decision.Verdict == slots.Run
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.slotRefusal(decision.Reason), decision.Verdict == slots.Run
 	case <-timer.C:
-		reason = outcome.QueueTimeout
 	case <-ctx.Done():
 		reason = outcome.CallerGone
 	}
 	n.mu.Lock()
 	delete(n.slotWaiters, id)
 	cancelled := n.gate.Cancel(id)
+	if reason == outcome.None {
+		reason = n.gate.TimeoutReason()
+	}
+	refusal := n.slotRefusal(reason)
 	n.mu.Unlock()
 	if !cancelled {
 		// The gate decided just as the wait ended.
@@ -103,7 +109,29 @@
 			n.releaseSlot(n.now(), false)
 		}
 	}
-	return n.refusal(outcome.NotRun, reason, ""), false
+	return refusal, false
+}
+
+const (
+	// maxContenders bounds the number of entry nodes that are assumed to send requests to
+	// one upstream.
+	maxContenders = 32
+	// maxPause is the longest time for which an entry node is told to send no request to
+	// an upstream whose limit is used up, so that it soon learns when the limit is lifted.
+	maxPause = 3 * time.Second
+)
+
+// slotRefusal returns the refusal of a request that gets no slot for the given reason. If
+// the upstream's limit is used up, the refusal asks the entry node to stay away for the
+// time in which each of the entry nodes gets one request. n.mu must be held.
+func (n *Node) slotRefusal(reason outcome.Reason) outcome.Refusal {
+	refusal := n.refusal(outcome.NotRun, reason, "")
+	if limit := n.gate.RateLimit(); reason == outcome.UpstreamLimited && limit > 0 {
+		contenders := float64(min(n.roster.Len(), maxContenders))
+		refusal.RetryAfter = min(time.Duration(contenders/limit*float64(time.Second)), maxPause)
+		refusal.Detail = "the upstream takes " + strconv.FormatFloat(limit, 'f', 1, 64) + " requests a second"
+	}
+	return refusal
 }
 
 // acceptsRequest reports whether the request may be sent to the local upstream. n.mu
@@ -210,6 +238,9 @@
 func (n *Node) checkResponse(req *servedRequest, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
 	d := &n.cfg.Dialect
 	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	if !misdirected {
+		n.recordRateLimit(response.Header)
+	}
 	if !misdirected && response.Header.Get(d.NotRun) == "" {
 		n.mu.Lock()
 		n.tracker.RecordResponse(n.now())
@@ -233,6 +264,45 @@
 	return nil, n.refusal(outcome.NotRun, outcome.UpstreamShed, "the upstream answered "+strconv.Itoa(status))
 }
 
+// recordRateLimit records the limit on requests per second that a response of the local
+// upstream names, or that it names none.
+func (n *Node) recordRateLimit(h http.Header) {
+	value := h.Get(n.cfg.Dialect.RateLimit)
+	perSecond, ok := n.cfg.Dialect.ParseRateLimit(value)
+	if !ok && value != "" {
+		return // malformed: neither a limit nor the absence of one
+	}
+	n.mu.Lock()
+	old := n.gate.RateLimit()
+	changed := n.gate.RecordRateLimit(n.now(), perSecond, ok)
+	limit := n.gate.RateLimit()
+	if (limit > 0) != n.roster.Self().Limited {
+		n.roster.Update(true, func(r *roster.Record) { r.Limited = limit > 0 })
+	}
+	if changed {
+		n.updateSpill(n.now())
+	}
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
+	if changed {
+		n.cfg.Log.Write(eventlog.Observation, "upstream limit changed", "per_second", limit, "before", old, "header", value)
+	}
+}
+
+// updateSpill lets the gate refuse at once what exceeds the limit that the local upstream
+// names, unless all upstreams of the service name one. n.mu must be held.
+func (n *Node) updateSpill(now time.Duration) {
+	if n.gate.RateLimit() == 0 {
+		return
+	}
+	spills := false
+	for _, r := range n.roster.Members(now, n.cfg.Self.Service) {
+		spills = spills || !r.Limited
+	}
+	n.gate.SetSpill(spills)
+}
+
 // refusal returns a refusal issued by this node.
 func (n *Node) refusal(e outcome.Execution, r outcome.Reason, detail string) outcome.Refusal {
 	return outcome.Refusal{Execution: e, Reason: r, Node: string(n.cfg.Self.Node.Host), Detail: detail}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -1,5 +1,7 @@
 // Package slots limits the concurrency of one upstream and queues the requests that
-// exceed the limit. The limit follows the number of slots that the upstream reports.
+// exceed the limit. The limit follows the number of slots that the upstream reports. An
+// upstream in need may also name a limit on its requests per second, which the package
+// enforces for the whole fleet, since all requests for the upstream pass through its node.
 //
 // The package is designed for a demand that stays above the capacity for long. Requests
 // that queue inside the upstream would occupy slots and connections after their callers
@@ -74,6 +76,12 @@
 	byID    map[uint64]*queuedRequest // queued requests, without cancelled ones
 	latency float64                   // moving average of the time from the start to the end of a request, ns
 	grownAt time.Duration             // time up to which growth has been added to limit
+	rate    rate                      // limit on the requests per second
+	spills  bool                      // requests that the rate limit holds back are refused and not queued
+	// awaitsAnswer is set until the upstream has answered. askedAt is the time of the first
+	// request in that state, or negative before it.
+	awaitsAnswer bool
+	askedAt      time.Duration
 }
 
 type queuedRequest struct {
@@ -96,10 +104,100 @@
 	g.limit = g.maxLimit()
 }
 
-// Reset discards the limit and the latency learned before the upstream restarted.
+// Reset discards the limits and the latency learned before the upstream restarted.
 func (g *Gate) Reset() {
 	g.limit = g.maxLimit()
 	g.latency = 0
+	g.rate = rate{}
+	g.AwaitAnswer()
+}
+
+// AwaitAnswer makes the gate send few requests at a time until RecordRateLimit is called. It
+// is called when the upstream may have a limit that this node does not know.
+func (g *Gate) AwaitAnswer() { g.awaitsAnswer, g.askedAt = true, -1 }
+
+// RecordRateLimit records the limit on requests per second that a response of the upstream
+// named, if named is set, or that it named none. It reports whether the limit has changed.
+func (g *Gate) RecordRateLimit(now time.Duration, perSecond float64, named bool) (changed bool) {
+	g.awaitsAnswer = false
+	if !named {
+		return g.rate.lapse(now)
+	}
+	return g.rate.set(now, perSecond)
+}
+
+// SetSpill sets whether requests that the rate limit holds back are refused at once, so that
+// another upstream can run them, or wait in the queue.
+func (g *Gate) SetSpill(spills bool) { g.spills = spills }
+
+// Spills reports whether requests that a rate limit holds back are refused at once.
+func (g *Gate) Spills() bool { return g.spills && g.rate.perSecond > 0 }
+
+// RateLimit returns the limit on requests per second, or zero if there is none.
+func (g *Gate) RateLimit() float64 { return g.rate.perSecond }
+
+// Capacity returns the mean number of requests that run at a time if the upstream gets as
+// many as its limits allow.
+func (g *Gate) Capacity() float64 {
+	if g.rate.perSecond == 0 || g.latency == 0 {
+		return float64(g.Limit())
+	}
+	return min(float64(g.Limit()), g.rate.perSecond*time.Duration(g.latency).Seconds())
+}
+
+// TimeoutReason returns the reason why a queued request has not started in time.
+func (g *Gate) TimeoutReason() outcome.Reason {
+	if g.heldByRate() {
+		return outcome.UpstreamLimited
+	}
+	return outcome.QueueTimeout
+}
+
+// heldByRate reports whether the rate limit and not the slots make requests wait.
+func (g *Gate) heldByRate() bool { return g.rate.perSecond > 0 && g.running < int(g.limit) }
+
+// startsNow reports whether the limits allow another request to start.
+func (g *Gate) startsNow(now time.Duration) bool {
+	return g.running < min(int(g.limit), g.unansweredLimit(now)) && g.rate.allows(now)
+}
+
+// start records that a request is sent to the upstream.
+func (g *Gate) start(now time.Duration) {
+	g.running++
+	g.rate.take()
+	if g.awaitsAnswer && g.askedAt < 0 {
+		g.askedAt = now
+	}
+}
+
+// unansweredLimit returns the number of requests that may run at a time while the upstream
+// has not answered.
+func (g *Gate) unansweredLimit(now time.Duration) int {
+	const steps = 10 // after which it is above the slots of any upstream
+	if !g.awaitsAnswer {
+		return unansweredLimit << steps
+	}
+	if g.askedAt < 0 {
+		return unansweredLimit
+	}
+	return unansweredLimit << min((now-g.askedAt)/unansweredStep, steps)
+}
+
+// startsTooLate reports whether the rate limit makes a queued request wait beyond its latest
+// start, as far as the requests that go before it tell.
+func (g *Gate) startsTooLate(now time.Duration, r Request) bool {
+	if g.rate.perSecond == 0 {
+		return false
+	}
+	before := 0
+	for i := range queueIndex(r) + 1 {
+		for _, item := range g.queues[i] {
+			if !item.cancelled {
+				before++
+			}
+		}
+	}
+	return now+g.rate.wait(now, before) > r.LatestStart
 }
 
 // maxLimit returns the highest limit for the reported number of slots.
@@ -139,10 +237,13 @@
 	if g.tooLate(now, r) {
 		return Refuse, outcome.DeadlineExceeded
 	}
-	if g.running < int(g.limit) && g.queued == 0 {
-		g.running++
+	if g.queued == 0 && g.startsNow(now) {
+		g.start(now)
 		return Run, outcome.None
 	}
+	if g.startsTooLate(now, r) || (g.Spills() && g.heldByRate()) {
+		return Refuse, outcome.UpstreamLimited
+	}
 	if r.LatestStart <= now || g.queued >= maxQueuedPerSlot*int(g.limit)+minLimit {
 		return Refuse, outcome.Overloaded
 	}
@@ -222,7 +323,7 @@
 	if decision, ok := g.refuseOverdue(now); ok {
 		return decision, true
 	}
-	if g.running >= int(g.limit) {
+	if !g.startsNow(now) {
 		return Decision{}, false
 	}
 	for i := range g.queues {
@@ -234,7 +335,7 @@
 		if g.tooLate(now, item.Request) {
 			return Decision{item.ID, Refuse, outcome.DeadlineExceeded}, true
 		}
-		g.running++
+		g.start(now)
 		return Decision{item.ID, Run, outcome.None}, true
 	}
 	return Decision{}, false
@@ -246,7 +347,7 @@
 		for _, item := range g.queues[i] {
 			if !item.cancelled && item.LatestStart <= now {
 				g.Cancel(item.ID)
-				return Decision{item.ID, Refuse, outcome.QueueTimeout}, true
+				return Decision{item.ID, Refuse, g.TimeoutReason()}, true
 			}
 		}
 	}
