Send few requests at first only to an upstream that ran before the node

Only an upstream that ran before its node started can have named a limit that the node does not know; all others now get their slots at once. The number doubles after 50 ms instead of 300, so that requests that may wait for 125 ms still get a slot.

--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -31,6 +31,9 @@
 	if result.Restarted {
 		n.gate.Reset()
 		n.upstreamPool.Invalidate()
+		if n.ranBefore(a) {
+			n.gate.AwaitAnswer()
+		}
 	}
 	if result.Changed {
 		n.gate.SetSlots(n.tracker.Current().Slots)
@@ -46,6 +49,13 @@
 	return !result.Foreign
 }
 
+// ranBefore reports whether the upstream that sent the announcement ran before this node
+// started, so that it may have named a limit to an earlier incarnation.
+func (n *Node) ranBefore(a upstream.Announcement) bool {
+	const clockTolerance = 5 * time.Second // of the difference between the clocks of upstream and node
+	return a.StartTime < n.started.Add(-clockTolerance).UnixMilli()
+}
+
 // publishPhase publishes a change of the local upstream's phase, instance or slots
 // to the peers. n.mu must be held.
 func (n *Node) publishPhase(now time.Duration) {
--- a/internal/slots/rate.go
+++ b/internal/slots/rate.go
@@ -12,11 +12,11 @@
 	// rateLapse is the time for which a limit applies after the last response that named
 	// it. Responses that were sent before the first one with the limit may arrive later.
 	rateLapse = 500 * time.Millisecond
-	// Until an upstream has answered, it is not known whether it names a limit. It then
-	// gets unansweredLimit requests at a time at first, and twice as many after each
-	// unansweredStep, in case it is only slow.
+	// After AwaitAnswer, the upstream gets unansweredLimit requests at a time at first, and
+	// twice as many after each unansweredStep, in case it is only slow. Queued requests
+	// wait at least 100 ms on most routes, so some steps fall into that time.
 	unansweredLimit = 4
-	unansweredStep  = 300 * time.Millisecond
+	unansweredStep  = 50 * time.Millisecond
 )
 
 // rate limits the requests that are sent to the upstream per second, by a token bucket. It
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -109,11 +109,11 @@
 	g.limit = g.maxLimit()
 	g.latency = 0
 	g.rate = rate{}
-	g.AwaitAnswer()
+	g.awaitsAnswer = false
 }
 
 // AwaitAnswer makes the gate send few requests at a time until RecordRateLimit is called. It
-// is called when the upstream may have a limit that this node does not know.
+// is called when the upstream may have named a limit that this node does not know.
 func (g *Gate) AwaitAnswer() { g.awaitsAnswer, g.askedAt = true, -1 }
 
 // RecordRateLimit records the limit on requests per second that a response of the upstream
