--- a/internal/sidecar/limit_test.go
+++ b/internal/sidecar/limit_test.go
@@ -11,7 +11,10 @@
 	"cardamomhatch/internal/upstream"
 )
 
-const limitHeader = "X-Limit" // requests a second that the upstream takes from all nodes
+const (
+	limitHeader   = "X-Limit"   // requests a second that the upstream takes from all nodes
+	leavingHeader = "X-Leaving" // the upstream leaves
+)
 
 // arrivals records when requests arrive at an upstream.
 type arrivals struct {
@@ -176,3 +179,33 @@
 		t.Errorf("the upstream got %d requests in the two seconds after the start, want at most %d, which it tolerates in four", got, int(1.5*perSecond*4)+5)
 	}
 }
+
+// An upstream may tell that it leaves in its responses only. It must get no request later
+// than the drain time after that, although it still announces itself as ready.
+func TestUpstreamThatLeavesByItsResponses(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	var seen arrivals
+	var mu sync.Mutex
+	var first time.Time
+	a.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
+		seen.add()
+		mu.Lock()
+		defer mu.Unlock()
+		if first.IsZero() {
+			first = time.Now()
+		}
+		w.Header().Set(leavingHeader, "1")
+	})
+	for sequence := uint64(2); sequence <= 8; sequence++ { // startNode has sent announcement 1
+		sendSteadily([]*host{a, b, c}, 20*time.Millisecond, 300*time.Millisecond)
+		a.announce(upstream.Ready, sequence)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if first.IsZero() {
+		t.Fatal("no request reached the upstream")
+	}
+	if got := seen.since(first.Add(bounds.Drain)); got > 0 {
+		t.Errorf("%d requests reached the upstream later than %v after it had told that it leaves", got, bounds.Drain)
+	}
+}
