Stop sending requests to an upstream whose responses say that it leaves

The tracker of the node beside it now takes such a response as the beginning of the drain time; only a restart ends that state, since announcements may be late, and the response of an earlier start is ignored. The phase reaches the other nodes as for an announcement.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -31,6 +31,7 @@
 	NotRun        string // set by an upstream that did not run the request
 	Load          string // load of the upstream
 	RateLimit     string // requests per second that the upstream takes from all nodes together
+	Leaving       string // "1" if the upstream leaves
 	ProbeInstance string // instance of the upstream that answers a health probe
 	// ParseLoad parses the value of the Load header.
 	ParseLoad func(string) (Load, bool)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -26,7 +26,7 @@
 
 var dialect = Dialect{
 	RequestID: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
-	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, ProbeInstance: "X-Answerer",
+	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, Leaving: leavingHeader, ProbeInstance: "X-Answerer",
 	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
 	ParseRateLimit: func(value string) (float64, bool) {
 		limit, err := strconv.ParseFloat(value, 64)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -14,6 +14,7 @@
 	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
 	"cardamomhatch/internal/slots"
+	"cardamomhatch/internal/upstream"
 )
 
 const (
@@ -179,15 +180,15 @@
 	now := n.now()
 	remaining := max((deadline - now).Milliseconds(), 1)
 	n.mu.Lock()
-	instance := n.tracker.Current().Instance
+	sentTo := n.tracker.Current()
 	n.recordStart(now, id, req, now+time.Duration(remaining)*time.Millisecond)
 	n.mu.Unlock()
 	r := req.request
 	r.Header = endToEndHeaders(r.Header, d.Key, d.Workspace, d.Caller, d.Instance)
 	r.Header[d.Remaining] = []string{strconv.FormatInt(remaining, 10)}
 	r.Header[d.Caller] = []string{string(req.Caller)}
-	if instance != "" {
-		r.Header[d.Instance] = []string{instance}
+	if sentTo.Instance != "" {
+		r.Header[d.Instance] = []string{sentTo.Instance}
 	}
 	if req.Workspace != "" {
 		r.Header[d.Workspace] = []string{string(req.Workspace)}
@@ -204,7 +205,7 @@
 	if err != nil {
 		return nil, n.handleUpstreamError(ctx, req, err)
 	}
-	return n.checkResponse(req, response)
+	return n.checkResponse(req, sentTo, response)
 }
 
 // handleUpstreamError converts an error of the exchange with the upstream into a
@@ -234,12 +235,13 @@
 }
 
 // checkResponse returns the response if the upstream ran the request, and a refusal if
-// the upstream states that it did not.
-func (n *Node) checkResponse(req *servedRequest, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
+// the upstream states that it did not. sentTo is the upstream that the request was sent to.
+func (n *Node) checkResponse(req *servedRequest, sentTo upstream.Announcement, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
 	d := &n.cfg.Dialect
 	misdirected := response.StatusCode == http.StatusMisdirectedRequest
 	if !misdirected {
 		n.recordRateLimit(response.Header)
+		n.recordLeaving(response.Header, sentTo)
 	}
 	if !misdirected && response.Header.Get(d.NotRun) == "" {
 		n.mu.Lock()
@@ -290,6 +292,22 @@
 	}
 }
 
+// recordLeaving records that the local upstream leaves if the response to a request that was
+// sent to the given upstream says so.
+func (n *Node) recordLeaving(h http.Header, sentTo upstream.Announcement) {
+	const leaving = "1"
+	if h.Get(n.cfg.Dialect.Leaving) != leaving {
+		return
+	}
+	n.mu.Lock()
+	now := n.now()
+	n.tracker.RecordLeaving(now, sentTo)
+	n.publishPhase(now)
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
+}
+
 // updateSpill lets the gate refuse at once what exceeds the limit that the local upstream
 // names, unless all upstreams of the service name one. n.mu must be held.
 func (n *Node) updateSpill(now time.Duration) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,6 +81,7 @@
 	down         bool          // it refused a connection and has neither responded nor announced itself since
 	leavingSince time.Duration // time of the first announcement that it is draining or has deregistered
 	announced    bool          // an announcement was accepted since the last replacement
+	saidLeaving  bool          // a response of the known start said that it leaves
 }
 
 // New returns a tracker of an upstream that has not been seen yet.
@@ -109,7 +110,10 @@
 	}
 	result := Result{Restarted: !t.sameStart(a)}
 	result.Changed = result.Restarted || t.last.State != a.State || t.last.Slots != a.Slots
-	if a.State != Ready && (result.Restarted || t.last.State == Ready) {
+	if result.Restarted {
+		t.saidLeaving = false
+	}
+	if a.State != Ready && !t.saidLeaving && (result.Restarted || t.last.State == Ready) {
 		t.leavingSince = now
 	}
 	if a.Slots == 0 && !result.Restarted {
@@ -166,20 +170,36 @@
 // RecordResponse records that the upstream responded to a request.
 func (t *Tracker) RecordResponse(now time.Duration) { t.lastResponse, t.down = now, false }
 
+// RecordLeaving records that a response said that the upstream leaves. sentTo is what
+// Current returned when the request was sent: the response of an earlier start is ignored.
+// Only a restart ends this state, since announcements may be seconds late.
+func (t *Tracker) RecordLeaving(now time.Duration, sentTo Announcement) {
+	if t.saidLeaving || !t.sameStart(sentTo) {
+		return
+	}
+	if !t.leaving() {
+		t.leavingSince = now
+	}
+	t.saidLeaving = true
+}
+
+// leaving reports whether the upstream has said that it leaves.
+func (t *Tracker) leaving() bool { return t.saidLeaving || t.last.State != Ready }
+
 // RecordRefusedConnection records that the upstream did not accept a connection.
 func (t *Tracker) RecordRefusedConnection(now time.Duration) { t.lastRefused, t.down = now, true }
 
 // RecordReplacement records that another instance serves at the address. No request is
 // sent to it until the next announcement or probe. The next announcement is accepted
 // from any instance.
-func (t *Tracker) RecordReplacement() { t.known, t.announced = false, false }
+func (t *Tracker) RecordReplacement() { t.known, t.announced, t.saidLeaving = false, false, false }
 
 // Phase returns the phase of the upstream to be published to other nodes.
 func (t *Tracker) Phase(now time.Duration) roster.Phase {
 	switch {
 	case !t.known, t.silent(now), t.down:
 		return roster.Absent
-	case t.last.State != Ready:
+	case t.leaving():
 		return roster.Leaving
 	}
 	return roster.Ready
@@ -201,7 +221,7 @@
 	if t.down && now-t.lastRefused < reconnectDelay {
 		return false
 	}
-	return t.last.State == Ready || now-t.leavingSince < time.Duration(drainAcceptShare*float64(t.cfg.DrainTime))
+	return !t.leaving() || now-t.leavingSince < time.Duration(drainAcceptShare*float64(t.cfg.DrainTime))
 }
 
 // Current returns the last announcement, or the instance and slots from a probe.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -132,3 +132,28 @@
 		t.Error("a probe replaced an announcement")
 	}
 }
+
+// An upstream may say in a response that it leaves before its announcements do. Only a
+// restart makes it ready again, and a later announcement must not extend the time in which
+// it still gets requests.
+func TestResponseSaysThatTheUpstreamLeaves(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleAnnouncement(0, readyAnnouncement("a", 100, 3))
+	sentTo := tracker.Current()
+	tracker.RecordLeaving(time.Second, sentTo)
+	tracker.HandleAnnouncement(1100*time.Millisecond, readyAnnouncement("a", 100, 4))
+	if got := tracker.Phase(1200 * time.Millisecond); got != roster.Leaving {
+		t.Errorf("phase is %d after a late ready announcement, want leaving", got)
+	}
+	draining := readyAnnouncement("a", 100, 5)
+	draining.State = Draining
+	tracker.HandleAnnouncement(1700*time.Millisecond, draining)
+	if !tracker.Accepts(1700*time.Millisecond) || tracker.Accepts(1900*time.Millisecond) {
+		t.Error("requests are not accepted until 0.8 s after the response, or longer")
+	}
+	tracker.HandleAnnouncement(3*time.Second, readyAnnouncement("b", 200, 1))
+	tracker.RecordLeaving(3100*time.Millisecond, sentTo)
+	if got := tracker.Phase(3200 * time.Millisecond); got != roster.Ready {
+		t.Errorf("phase is %d after the restart and a response of the earlier start, want ready", got)
+	}
+}
