Bound the bytes that are read of a response head

An exchange now reads at most 96 KiB of heads.

Endless bodies were handled already, which TestEndlessBody shows: the response is streamed, ends by the route's timeout and does not look complete; a refusal is answered at once.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -186,8 +186,12 @@
 // receive reads the header of the response that belongs to the request. It skips
 // interim responses, and a few responses to other requests.
 func (resp *Response) receive(r *Request) error {
+	head := &resp.conn.head
+	head.left = maxHead
 	for unmatched := 0; unmatched <= maxUnmatched; {
+		head.active = true
 		parsed, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+		head.active = false
 		if err != nil {
 			return errors.Wrap(err, "read the answer")
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -229,6 +229,44 @@
 	}
 }
 
+// A faulty upstream may send bytes without end where a response head is due. The exchange
+// must fail before it has read many of them, and not hold them in memory until its deadline.
+func TestEndlessHeadFails(t *testing.T) {
+	for name, piece := range map[string]string{
+		"status line": "x", "header line": "HTTP/1.1 200 OK\r\nX: ", "header fields": "HTTP/1.1 200 OK\r\n",
+		"interim responses": "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			repeated := strings.Repeat(map[string]string{"header fields": "A: b\r\n", "interim responses": piece}[name], 1000)
+			if repeated == "" {
+				repeated = strings.Repeat("x", 4000)
+			}
+			var written atomic.Int64
+			address, _ := startUpstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, piece)
+				for {
+					n, err := io.WriteString(c, repeated)
+					written.Add(int64(n))
+					if err != nil {
+						return false
+					}
+				}
+			})
+			p := New(Config{Address: address, DialTimeout: time.Second})
+			began := time.Now()
+			_, err := fetch(t, p, newGet("a"))
+			var failure *Failure
+			if !errors.As(err, &failure) || !failure.Sent || failure.Timeout {
+				t.Errorf("error is %v, want a failure of a request that was sent, and no timeout", err)
+			}
+			// The sockets of both sides hold some megabytes.
+			if elapsed := time.Since(began); elapsed > 2*time.Second || written.Load() > 64<<20 {
+				t.Errorf("the exchange took %v and the upstream wrote %d bytes, want less than 2 s and 64 MiB", elapsed, written.Load())
+			}
+		})
+	}
+}
+
 // Connections of a server can go silent all at once, without a reset. After a request that
 // timed out by its context, no idle connection of that time may be used.
 func TestTimeoutOfContextInvalidatesIdleConnections(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -21,6 +22,10 @@
 
 const (
 	readBufferSize = 4 << 10 // bytes
+	// maxHead is the largest size in bytes of the head of a response, together with those
+	// of the interim responses before it and, in part, of skipped ones. It is more than the
+	// 64 KiB that nodes accept of requests, since nodes add fields to what they pass on.
+	maxHead = 96 << 10
 	// The TCP keep-alive settings end a connection after about two seconds if the server
 	// has disappeared without a reset.
 	keepAliveIdle        = time.Second
@@ -58,11 +63,34 @@
 type conn struct {
 	net.Conn
 	reader            *bufio.Reader
+	head              headLimit
 	generation        int           // of the pool when the connection was dialled
 	lastUsed          time.Time     // when it was returned to the pool
 	serverIdleTimeout time.Duration // as stated by the server, less expiryMargin; zero if not stated
 }
 
+// headLimit bounds the bytes that are read of a connection while response heads are
+// parsed, because net/http holds a head in memory however long it is.
+type headLimit struct {
+	source io.Reader
+	active bool
+	left   int // bytes that may be read while active
+}
+
+var errHeadTooLong = errors.Errorf("the response head is longer than %d bytes", maxHead)
+
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // get returns an idle connection that has been idle for at most maxIdle (zero means any
 // time), or a new one.
 func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*conn, error) {
@@ -142,7 +170,10 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect()
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize), generation: generation}, nil
+	c := &conn{Conn: netConn, generation: generation}
+	c.head.source = netConn
+	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // put returns a connection to the pool. Its last response must have been read to its
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -27,6 +27,7 @@
 	// Expect: 100-continue.
 	upstreamContinueTimeout = time.Second
 	connBufferSize          = 16 << 10 // bytes, for each direction
+	maxResponseHead         = 96 << 10 // bytes
 )
 
 func newTransport() *http.Transport {
@@ -37,6 +38,8 @@
 		ReadBufferSize:     connBufferSize,
 		WriteBufferSize:    connBufferSize,
 		Protocols:          http1(),
+		// A faulty upstream may send a response head without end.
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 }
 
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -111,7 +110,7 @@
 		return
 	}
 	defer resp.Close()
-	_, err = io.Copy(io.Discard, resp)
+	_, err = discardBody(resp)
 	instance := resp.Header.Get(n.cfg.Dialect.ProbeInstance)
 	if err != nil || resp.StatusCode != http.StatusOK || instance == "" {
 		n.cfg.Log.Write(eventlog.Observation, "probe answered", "status", resp.StatusCode, "instance", instance, "err", err)
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -407,6 +409,61 @@
 	}
 }
 
+// A faulty upstream may send a body without end. The node must not hold it in memory, must
+// end the response by the route's timeout, and must not let it look complete; a refusal
+// with such a body must be handled at once.
+func TestEndlessBody(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	const routeTimeout = 2 * time.Second // of shopDeclaration
+	for _, test := range []struct {
+		head   string
+		within time.Duration
+	}{
+		{"HTTP/1.1 200 OK\r\n", routeTimeout + time.Second},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", routeTimeout + time.Second},
+		{"HTTP/1.1 503 Service Unavailable\r\nX-Unrun: 1\r\n", time.Second},
+	} {
+		respondWithoutEnd := func(_ *host, w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			io.WriteString(conn, test.head+"X-Request: "+r.Header.Get(dialect.RequestID)+"\r\n\r\n")
+			piece := strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 16)
+			for err == nil {
+				_, err = io.WriteString(conn, piece)
+			}
+		}
+		a.setHandler(respondWithoutEnd)
+		b.setHandler(respondWithoutEnd)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		began := time.Now()
+		r, _ := http.NewRequest("POST", "http://"+c.callerAddress+"/order/1", strings.NewReader("x"))
+		r.Host = "shop"
+		r.Header.Set(dialect.RequestID, "endless"+strconv.Itoa(len(test.head)))
+		r.Header.Set(dialect.Key, "k1")
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("%q: the response looks complete", test.head)
+			}
+		}
+		if elapsed := time.Since(began); elapsed > test.within {
+			t.Errorf("%q: the response ended after %v, want at most %v", test.head, elapsed, test.within)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+			t.Errorf("%q: the heap grew by %d bytes, want at most 8 MiB", test.head, grown)
+		}
+	}
+}
+
 // A truncated response must not look complete to the caller, whether it is short enough
 // to be buffered or streamed.
 func TestBrokenAnswerIsNotComplete(t *testing.T) {
