--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,9 +14,12 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomhatch/internal/mesh"
 )
 
@@ -71,6 +74,30 @@
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
 }
 
+// maxClaim bounds the claims that are accepted of records. Claims are times in Unix
+// milliseconds or follow others by one, so a larger one is not that of a node.
+const maxClaim = 1 << 62
+
+// Check returns an error if the record cannot be that of a node: other writers may leave
+// records at the same place.
+func (r *Record) Check() error {
+	m := r.Member
+	address, err := netip.ParseAddrPort(m.PeerAddress)
+	switch {
+	case m.Node.Host == "" || m.Node.IsZero():
+		return errors.New("the record names no node")
+	case err != nil:
+		return errors.Wrapf(err, "peer address of %s", m.Node.Host)
+	case address.Port() == 0:
+		return errors.Errorf("peer address %q of %s has no port", m.PeerAddress, m.Node.Host)
+	case r.Claim > maxClaim:
+		return errors.Errorf("claim %d of %s is too large", r.Claim, m.Node.Host)
+	case r.Slots < 0:
+		return errors.Errorf("%s has %d slots", m.Node.Host, r.Slots)
+	}
+	return nil
+}
+
 // newer reports whether r is newer than the version given by claim and serial.
 func (r *Record) newer(claim, serial uint64) bool {
 	return r.Claim > claim || (r.Claim == claim && r.Serial > serial)
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -212,7 +212,11 @@
 	n.mu.Lock()
 	for _, raw := range records {
 		var record roster.Record
-		if err := json.Unmarshal(raw, &record); err != nil {
+		err := json.Unmarshal(raw, &record)
+		if err == nil {
+			err = record.Check()
+		}
+		if err != nil {
 			n.cfg.Log.Write(eventlog.Observation, "invalid node record skipped", "err", err, "bytes", len(raw))
 			continue
 		}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -265,6 +266,38 @@
 	}
 }
 
+// Another writer may leave odd records among those of the nodes. A node that reads them must
+// list the others, keep its own record valid and go on.
+func TestOddNodeRecordsAreSkipped(t *testing.T) {
+	s := newStore(shopDeclaration)
+	record := func(host, address, claim string) []byte {
+		return []byte(`{"Member":{"Node":{"Host":"` + host + `","Incarnation":7},"DataCentre":"dc","Service":"web","PeerAddress":"` + address + `"},"Claim":` + claim + `,"Serial":9,"Phase":1,"Instance":"x","Slots":8}`)
+	}
+	const largest = "18446744073709551615"
+	s.nodes["deep"] = []byte(strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000))
+	s.nodes["large"] = record("large", "127.0.0.1:9", "99999999999999999999999")
+	s.nodes["port"] = record("port", "127.0.0.1:99999", "5")
+	s.nodes["address"] = record("address", "", "5")
+	s.nodes["nameless"] = record("", "127.0.0.1:9", "5")
+	s.nodes["slots"] = bytes.Replace(record("slots", "127.0.0.1:9", "5"), []byte(`"Slots":8`), []byte(`"Slots":-8`), 1)
+	s.nodes["claim-of-c"] = record("c", "127.0.0.1:9", largest)
+	a, b, c := startHost(t, s, "a", "web", 8), startHost(t, s, "b", "web", 8), startHost(t, s, "c", "stock", 8)
+	waitForSmallMesh(t, a, b, c)
+	for _, h := range []*host{a, b, c} {
+		h.node.mu.Lock()
+		nodes, claim := h.node.roster.Len(), h.node.roster.Self().Claim
+		h.node.mu.Unlock()
+		if nodes != 3 || claim < uint64(h.node.started.UnixMilli())/2 {
+			t.Errorf("%s knows %d nodes and has claim %d, want 3 and about the time of its start", h.node.cfg.Self.Node.Host, nodes, claim)
+		}
+	}
+	for i := range 20 {
+		if got := c.call(fmt.Sprint("odd", i), "GET", "/read/1", "k1", ""); got.status != 200 {
+			t.Errorf("a request got status %d, want 200", got.status)
+		}
+	}
+}
+
 // Several declarations in quick succession must not cause one read each, and the last
 // one must come into force.
 func TestDeclarationsInQuickSuccession(t *testing.T) {
