Send a control message again if its connection had ended before

Each peer sent its first reply on the connection to the incarnation before and dropped it, so that about four rounds of digests went by.

net/rpc reports a connection that had ended before the call, and the batch is then sent on a new one. Nothing is delivered twice, because the call was not written. TestFirstMessageAfterARestartArrives failed before (message 1 was lost) and passes.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -214,10 +214,23 @@
 	}
 }
 
-// deliver sends a batch and waits for the acknowledgement. It connects first if there is
-// no connection or its certificate was checked for another host, and closes the
-// connection after an error.
+// deliver sends a batch and waits for the acknowledgement. If the peer has closed the idle
+// connection, for example because it restarted, the batch is sent on a new one.
 func (c *Client) deliver(address string, to mesh.Member, batch []mesh.Envelope, pc *peerConn) error {
+	reused := pc.rpc != nil
+	err := c.deliverOnce(address, to, batch, pc)
+	// net/rpc returns ErrShutdown if it had seen the end of the connection before the call,
+	// so that the batch was not sent.
+	if reused && errors.Is(err, rpc.ErrShutdown) && c.ctx.Err() == nil {
+		return c.deliverOnce(address, to, batch, pc)
+	}
+	return err
+}
+
+// deliverOnce makes one attempt to deliver a batch. It connects first if there is no
+// connection or its certificate was checked for another host, and closes the connection
+// after an error.
+func (c *Client) deliverOnce(address string, to mesh.Member, batch []mesh.Envelope, pc *peerConn) error {
 	if pc.rpc != nil && pc.host != to.Node.Host {
 		pc.close()
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -124,6 +124,40 @@
 	}
 }
 
+// Guards against a lost message after a planned restart: the peer closes the idle
+// connection, and the first message after that must reach its next incarnation. A node that
+// starts would otherwise miss the first reply of each peer.
+func TestFirstMessageAfterARestartArrives(t *testing.T) {
+	got, unreachable := make(chan mesh.Envelope, 8), make(chan mesh.NodeID, 8)
+	r := NewReceiver(metrics.NewRegistry(), func(e mesh.Envelope) { got <- e })
+	member := serveReceiver(t, nil, r)
+	c, sent := newClient(t, nil, unreachable)
+	for number := range 5 {
+		c.Send(member, mesh.Envelope{From: self, To: remote, Message: testMessage{number}})
+		select {
+		case e := <-got:
+			if e.Message != (testMessage{number}) {
+				t.Fatalf("message %+v arrived, want number %d", e, number)
+			}
+		case <-unreachable:
+			t.Fatalf("message %d was lost", number)
+		case <-time.After(waitTimeout):
+			t.Fatalf("message %d did not arrive", number)
+		}
+		for end := time.Now().Add(waitTimeout); counterValue(sent, "peer.sent.messages") <= int64(number); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("message %d was not acknowledged", number)
+			}
+		}
+		r.mu.Lock()
+		for conn := range r.conns {
+			conn.Close()
+		}
+		r.mu.Unlock()
+		time.Sleep(100 * time.Millisecond) // until the client has seen the end of the connection
+	}
+}
+
 // Guards against messages from or to a host that the certificate of the connection
 // does not name. A seed is a peer of which only the address is known, so any certificate
 // of the CA is accepted for it.
