--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -163,8 +163,8 @@
 	return ramping
 }
 
-// fallback returns the candidate whose suspension or pause ends first; among equals, the one with the
-// fewest attempts in flight. It returns exclude only if there is no other.
+// fallback returns the candidate whose suspension or pause ends first; among equals, the one
+// with the fewest attempts in flight. It returns exclude only if there is no other.
 func (t *Table) fallback(now time.Duration, s *service, exclude mesh.NodeID) *node {
 	var best *node
 	for _, c := range s.candidates {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -42,27 +42,20 @@
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost := false
 	for {
-		n.readBegan.Store(int64(n.now()))
-		plan := planner.Next(n.fleetSize(), !cursor.Known)
-		ctx, cancel := n.context(plan.Limit())
-		raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
-		unanswered := errors.Is(ctx.Err(), context.DeadlineExceeded)
-		cancel()
+		raw, next, err := n.readDeclaration(cursor, planner.Next(n.fleetSize(), !cursor.Known))
 		if n.runCtx.Err() != nil {
 			return
 		}
+		if err != nil && !storeLost {
+			n.logStoreLost(err)
+		}
+		storeLost = storeLost || err != nil
+		if errors.Is(err, context.DeadlineExceeded) {
+			planner.Unanswered() // the next read starts at once, because this one took long enough
+			continue
+		}
+		planner.Answered()
 		if err != nil {
-			n.metrics.storeFailures.Inc(1)
-			if !storeLost {
-				n.cfg.Log.Write(eventlog.Lifecycle, "store lost", "err", err, "declaration", n.declarationVersion(),
-					"read_open_ms", n.since(&n.readBegan).Milliseconds(), "answered_ms", n.since(&n.storeAnswered).Milliseconds())
-			}
-			storeLost = true
-			if unanswered {
-				planner.Unanswered() // the next read starts at once, because this one took long enough
-				continue
-			}
-			planner.Answered()
 			if !n.pause(backoff.Next()) {
 				return
 			}
@@ -74,7 +67,6 @@
 			storeLost = false
 		}
 		n.storeAnswered.Store(int64(n.now()))
-		planner.Answered()
 		backoff.Reset()
 		cursor = next
 		if raw == nil {
@@ -87,6 +79,29 @@
 	}
 }
 
+// readDeclaration makes one read of the declaration. The error is or wraps
+// context.DeadlineExceeded if the store did not answer in time.
+func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) ([]byte, Cursor, error) {
+	n.readBegan.Store(int64(n.now()))
+	ctx, cancel := n.context(plan.Limit())
+	defer cancel()
+	raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
+	if err == nil {
+		return raw, next, nil
+	}
+	n.metrics.storeFailures.Inc(1)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		err = errors.Wrapf(context.DeadlineExceeded, "read of the declaration: %v", err)
+	}
+	return nil, cursor, err
+}
+
+// logStoreLost logs a failed read of the declaration after a successful one.
+func (n *Node) logStoreLost(err error) {
+	n.cfg.Log.Write(eventlog.Lifecycle, "store lost", "err", err, "declaration", n.declarationVersion(),
+		"read_open_ms", n.since(&n.readBegan).Milliseconds(), "answered_ms", n.since(&n.storeAnswered).Milliseconds())
+}
+
 // fleetSize returns the number of nodes that this node knows of, itself included.
 func (n *Node) fleetSize() int {
 	n.mu.Lock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -64,4 +64,7 @@
 func (p *Planner) Answered() { p.unanswered = 0 }
 
 // Unanswered records that the store did not answer the last read in time.
-func (p *Planner) Unanswered() { p.unanswered = min(p.unanswered+1, 8) }
+func (p *Planner) Unanswered() {
+	const enough = 8 // lost reads after which the limit has reached maxAnswerLimit
+	p.unanswered = min(p.unanswered+1, enough)
+}
