--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -315,3 +315,44 @@
 		t.Fatalf("cut is %v after 1 s without a response, want it open", got)
 	}
 }
+
+// Many entry nodes send requests to an upstream that names a limit. One that was refused
+// there must stay away for about the pause that it was told, must then return without a
+// penalty, and must still use the upstream if there is no other.
+func TestLimitedNodeIsLeftAloneForItsPause(t *testing.T) {
+	const pause = 400 * ms
+	member := func(i int) mesh.Member {
+		return mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprint("h", i)), Incarnation: 1}, DataCentre: "dc", Service: orders}
+	}
+	limited, other := member(0), member(1)
+	table := New(Config{Seed: 1, DataCentre: "dc", RampTime: ms})
+	table.SetMembers(0, orders, []mesh.Member{limited, other})
+	request := Request{Service: orders, Route: "r", TargetLatency: time.Second}
+	refuse := func(now time.Duration) {
+		table.RecordSent(now, limited.Node)
+		table.RecordEnd(now, limited.Node, Sample{Result: Limited, Pause: pause, Route: "r"})
+	}
+	picks := func(from, until time.Duration) (share float64) {
+		all := 0.0
+		for now := from; now < until; now += ms {
+			m, _ := table.PickForLatency(now, request)
+			all++
+			if m.Node == limited.Node {
+				share++
+			}
+		}
+		return share / all
+	}
+	refuse(0)
+	if share := picks(0, pause/2); share > 0 {
+		t.Errorf("the limited node gets %.2f of the requests in the first half of its mean pause, want none", share)
+	}
+	if share := picks(pause*3/2, pause*5/2); share < 0.3 {
+		t.Errorf("the limited node gets %.2f of the requests after its pause, want about half", share)
+	}
+	table.SetMembers(2*time.Second, orders, []mesh.Member{limited})
+	refuse(2 * time.Second)
+	if m, reason := table.PickForLatency(2*time.Second+ms, request); m.Node != limited.Node {
+		t.Errorf("the only node is not used during its pause, reason %v", reason)
+	}
+}
