--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -25,6 +25,12 @@
 	// upstreamGrace extends the deadline of the exchange with the upstream beyond the
 	// time that the upstream is told, so that a response sent at the deadline arrives.
 	upstreamGrace = 30 * time.Millisecond
+	// maxContenders bounds the number of entry nodes that are assumed to send requests to
+	// one upstream.
+	maxContenders = 32
+	// maxPause is the longest time for which an entry node is told to send no request to
+	// an upstream whose limit is used up, so that it soon learns when the limit is lifted.
+	maxPause = 3 * time.Second
 )
 
 // servedRequest is one request at the serving node, the node next to the upstream
@@ -113,15 +119,6 @@
 	return refusal, false
 }
 
-const (
-	// maxContenders bounds the number of entry nodes that are assumed to send requests to
-	// one upstream.
-	maxContenders = 32
-	// maxPause is the longest time for which an entry node is told to send no request to
-	// an upstream whose limit is used up, so that it soon learns when the limit is lifted.
-	maxPause = 3 * time.Second
-)
-
 // slotRefusal returns the refusal of a request that gets no slot for the given reason. If
 // the upstream's limit is used up, the refusal asks the entry node to stay away for the
 // time in which each of the entry nodes gets one request. n.mu must be held.
