Do not let nodes ramp up that become known with their service

Cause: a node that has just started learns of its peers one after the other, and took all but the first of each service for new ones. And a node that ramps up and is the first candidate got its full share.

Change: nodes ramp up only if their service has been known for two seconds; the share counts at any place; a request whose best node has just refused others goes to one that ramps up.

--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -356,3 +356,76 @@
 		t.Errorf("the only node is not used during its pause, reason %v", reason)
 	}
 }
+
+// pickMany returns how many of the requests, one a millisecond from the given time, each
+// member gets. Their samples are those of the behaviours.
+func pickMany(table *Table, from time.Duration, requests int, nodes map[mesh.NodeID]Sample) map[mesh.NodeID]int {
+	picks := map[mesh.NodeID]int{}
+	for i := range requests {
+		now := from + time.Duration(i)*ms
+		m, _ := table.PickForLatency(now, Request{Service: orders, Route: "r", TargetLatency: time.Second})
+		picks[m.Node]++
+		table.RecordSent(now, m.Node)
+		sample := nodes[m.Node]
+		sample.Route = "r"
+		table.RecordEnd(now, m.Node, sample)
+	}
+	return picks
+}
+
+// A node that ramps up must get a small share of the requests wherever it stands among the
+// candidates. As the first candidate it used to get a third of them.
+func TestRampingNodeGetsASmallShareAtAnyPlace(t *testing.T) {
+	for place := range 4 {
+		table := New(Config{Seed: 1, DataCentre: "dc", RampTime: time.Minute})
+		members := make([]mesh.Member, 4)
+		nodes := map[mesh.NodeID]Sample{}
+		for i := range members {
+			members[i] = mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprint("h", i))}, DataCentre: "dc", Service: orders}
+			nodes[members[i].Node] = Sample{Latency: latency}
+		}
+		ranked := table.subset(orders, members)
+		late := ranked[place]
+		table.SetMembers(0, orders, append(append([]mesh.Member{}, ranked[:place]...), ranked[place+1:]...))
+		table.SetMembers(10*time.Second, orders, members)
+		picks := pickMany(table, 10*time.Second, 2000, nodes)
+		if got := picks[late.Node]; got > 200 {
+			t.Errorf("at place %d, the node that ramps up gets %d of 2000 requests, want at most 200", place, got)
+		}
+	}
+}
+
+// A request that would go to a node that has just refused others must go to a node that
+// ramps up instead: a refusal costs a repeat, of which there are few.
+func TestRampingNodeGetsWhatOthersRefuse(t *testing.T) {
+	for _, host := range []mesh.Host{"a", "b", "c", "d"} { // before and after the other in the order of the candidates
+		table := New(Config{Seed: 1, DataCentre: "dc", RampTime: time.Minute})
+		full := mesh.Member{Node: mesh.NodeID{Host: "full"}, DataCentre: "dc", Service: orders}
+		late := mesh.Member{Node: mesh.NodeID{Host: host}, DataCentre: "dc", Service: orders}
+		table.SetMembers(0, orders, []mesh.Member{full})
+		table.SetMembers(10*time.Second, orders, []mesh.Member{full, late})
+		picks := pickMany(table, 10*time.Second, 1000, map[mesh.NodeID]Sample{full.Node: {Latency: latency, Result: Refused}, late.Node: {Latency: latency}})
+		if got := picks[full.Node]; got > 100 {
+			t.Errorf("beside %s, the node that refuses all requests gets %d of 1000, want at most 100", host, got)
+		}
+	}
+}
+
+// The nodes of a fleet become known one after the other. Requests that arrive meanwhile must
+// be spread over those that are known: one upstream alone cannot run them all.
+func TestNodesThatBecomeKnownTogetherShareTheRequests(t *testing.T) {
+	table := New(Config{Seed: 1, DataCentre: "dc", RampTime: time.Second})
+	members := make([]mesh.Member, 4)
+	nodes := map[mesh.NodeID]Sample{}
+	for i := range members {
+		members[i] = mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprint("h", i))}, DataCentre: "dc", Service: orders}
+		nodes[members[i].Node] = Sample{Latency: latency}
+		table.SetMembers(time.Duration(i)*100*ms, orders, members[:i+1])
+	}
+	picks := pickMany(table, 300*ms, 400, nodes)
+	for _, m := range members {
+		if got := picks[m.Node]; got < 50 {
+			t.Errorf("%s gets %d of 400 requests, want at least 50", m.Node.Host, got)
+		}
+	}
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -25,6 +25,9 @@
 	// reportThreshold. A node at full load costs 1.8 times as much, more than remoteFactor.
 	reportSlope  = 4.0
 	remoteFactor = 1.25 // cost of a node in another data centre, relative to a local one
+	// settleTime is the time since a service first had members in which nodes that join it do
+	// not ramp up. A node that has just started learns of the others in this time.
+	settleTime   = 2 * time.Second
 	minRampShare = 0.05 // fraction of its full share of calls that a new node gets at first
 )
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -26,6 +26,8 @@
 	latency    float64       // mean latency of all responses, ns; zero without a sample
 	cut        cutLevel      // at cutAt
 	cutAt      time.Duration // of the last response that carried a cut
+	since      time.Duration // when it first had members; valid if known is set
+	known      bool
 }
 
 // New returns an empty table.
@@ -40,15 +42,20 @@
 }
 
 // SetMembers replaces the members of a service. Nodes that stay keep their measurements.
-// A node that joins a service that already has members ramps up.
+// A node that joins a service that already has members ramps up, unless the service became
+// known just now: the nodes of a fleet become known one after the other.
 func (t *Table) SetMembers(now time.Duration, name mesh.Service, members []mesh.Member) {
 	s := t.service(name)
+	if !s.known && len(members) > 0 {
+		s.since, s.known = now, true
+	}
+	rampsUp := len(s.candidates) > 0 && now-s.since >= settleTime
 	old := s.candidates
 	subset := t.subset(name, members)
 	s.candidates = make([]*node, 0, len(subset))
 	s.localCount = 0
 	for _, m := range subset {
-		n := t.node(now, m, len(old) > 0)
+		n := t.node(now, m, rampsUp)
 		n.services++
 		s.candidates = append(s.candidates, n)
 		if !n.remote {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"cardamomhatch/internal/mesh"
@@ -23,6 +24,9 @@
 	loadThreshold = 0.7
 	loadSlope     = 4.0
 	maxLoadFactor = 8.0
+	// rampPenalty is the penalty of the best node from which a node that ramps up gets the
+	// request instead. It is that of one refusal in the last second.
+	rampPenalty   = 0.5
 	costSpread    = 0.15 // largest random increase of a cost, as a fraction of it, so that entry nodes choose different nodes
 	defaultTarget = time.Second
 	kilobyte      = 1024.0 // bytes
@@ -52,29 +56,44 @@
 		return mesh.Member{}, outcome.NoUpstream
 	}
 	latencyRatio, addedCost := t.routeEstimate(r)
-	var best *node
-	leastCost := 0.0
+	var best, bestRamping choice
 	for _, c := range s.candidates {
 		if c.member.Node == r.Exclude || !c.usable(now, r.Class) {
 			continue
 		}
-		if share := c.rampShare(now, t.cfg.RampTime); share < 1 && t.randomFraction() >= share && best != nil {
-			continue
-		}
 		expectedRatio := latencyRatio * c.latencyFactor(now)
 		cost := expectedRatio * expectedRatio
 		if c.remote {
 			cost += addedCost
 		}
 		cost *= 1 + costSpread*t.randomFraction()
-		if best == nil || cost < leastCost {
-			best, leastCost = c, cost
+		if share := c.rampShare(now, t.cfg.RampTime); share < 1 && t.randomFraction() >= share {
+			bestRamping.improve(c, cost)
+		} else {
+			best.improve(c, cost)
 		}
 	}
-	if best == nil {
-		best = t.fallback(now, s, r.Exclude)
+	if best.node == nil || bestRamping.node != nil && best.node.decayedPenalty(now) >= rampPenalty && bestRamping.cost < best.cost {
+		// Nodes that ramp up get more than their share rather than a request that would
+		// probably be refused elsewhere.
+		best = cmp.Or(bestRamping, best)
+	}
+	if best.node == nil {
+		best.node = t.fallback(now, s, r.Exclude)
+	}
+	return best.node.member, outcome.None
+}
+
+// choice is the node of the lowest cost so far; its node is nil if there is none.
+type choice struct {
+	node *node
+	cost float64
+}
+
+func (b *choice) improve(n *node, cost float64) {
+	if b.node == nil || cost < b.cost {
+		b.node, b.cost = n, cost
 	}
-	return best.member, outcome.None
 }
 
 // routeEstimate returns the mean latency of a request of the route, as a fraction of its
