Let the upstreams of the mesh tests announce themselves regularly

TestStop lasts longer, so on a slow machine both upstreams were absent (reason no-upstream). The fault is the tests'; no check changes. keepAnnouncing of the tests of limits is no longer needed.

--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -171,6 +171,9 @@
 	runs            map[string]int // executions by request ID
 	lastHeader      http.Header    // header of the last request that ran
 	handle          func(h *host, w http.ResponseWriter, r *http.Request)
+	state           upstream.State // in the announcements
+	sequence        uint64         // of the last announcement
+	stopAnnouncing  func()
 }
 
 // logBuffer collects the log of one node.
@@ -284,15 +287,49 @@
 		h.node.shutdown()
 		log.Close(time.Second)
 	})
-	h.announce(upstream.Ready, 1)
+	h.startAnnouncing(t)
 }
 
-func (h *host) announce(state upstream.State, sequence uint64) {
-	h.node.HandleAnnouncement(upstream.Announcement{
-		Instance: h.instance, Service: h.service, Address: h.upstreamAddress, StartTime: 1, Sequence: sequence, State: state, Slots: h.slots,
+// startAnnouncing makes the upstream announce itself to the node regularly until the test
+// ends or stopAnnouncing is called: a node takes an upstream that is silent for 2.5
+// intervals for absent.
+func (h *host) startAnnouncing(t testing.TB) {
+	node := h.node
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	h.stopAnnouncing = sync.OnceFunc(func() { close(stop); wg.Wait() })
+	t.Cleanup(h.stopAnnouncing)
+	h.announceTo(node)
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(bounds.Heartbeat / 2):
+				h.announceTo(node)
+			}
+		}
 	})
 }
 
+// announce changes the state that the upstream announces, and announces it at once.
+func (h *host) announce(state upstream.State) {
+	h.mu.Lock()
+	h.state = state
+	h.mu.Unlock()
+	h.announceTo(h.node)
+}
+
+func (h *host) announceTo(node *Node) {
+	h.mu.Lock()
+	h.sequence++
+	a := upstream.Announcement{
+		Instance: h.instance, Service: h.service, Address: h.upstreamAddress, StartTime: 1, Sequence: h.sequence, State: h.state, Slots: h.slots,
+	}
+	h.mu.Unlock()
+	node.HandleAnnouncement(a)
+}
+
 func shopDeclaration(version uint64) catalog.Declaration {
 	return catalog.Declaration{
 		Version: version,
--- a/internal/sidecar/limit_test.go
+++ b/internal/sidecar/limit_test.go
@@ -86,38 +86,11 @@
 	return served, sent
 }
 
-// keepAnnouncing announces the upstream of the host as ready, or as draining once the
-// returned function was called, until the test ends.
-func (h *host) keepAnnouncing(t *testing.T) (drain func()) {
-	var draining atomic.Bool
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	t.Cleanup(func() { close(stop); wg.Wait() })
-	wg.Go(func() {
-		for sequence := uint64(100); ; sequence++ {
-			state := upstream.Ready
-			if draining.Load() {
-				state = upstream.Draining
-			}
-			h.announce(state, sequence)
-			select {
-			case <-stop:
-				return
-			case <-time.After(bounds.Heartbeat / 2):
-			}
-		}
-	})
-	return func() { draining.Store(true) }
-}
-
 // An upstream that names a limit must not get more from all nodes together, while another
 // one has room for all requests. Left alone it must get what it takes, and everything once
 // it names no limit.
 func TestUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
-	a.keepAnnouncing(t)
-	c.keepAnnouncing(t)
-	drain := b.keepAnnouncing(t)
 	const (
 		perSecond = 10.0
 		window    = 4 * time.Second
@@ -140,7 +113,7 @@
 	if served < sent*98/100 {
 		t.Errorf("%d of %d requests were served, want at least 98 in 100, since the other upstream has room", served, sent)
 	}
-	drain()
+	b.announce(upstream.Draining)
 	time.Sleep(bounds.Drain) // until the other upstream gets no request
 	alone := time.Now()
 	sendSteadily([]*host{a, b, c}, interval, 5*time.Second)
@@ -196,10 +169,7 @@
 		}
 		w.Header().Set(leavingHeader, "1")
 	})
-	for sequence := uint64(2); sequence <= 8; sequence++ { // startNode has sent announcement 1
-		sendSteadily([]*host{a, b, c}, 20*time.Millisecond, 300*time.Millisecond)
-		a.announce(upstream.Ready, sequence)
-	}
+	sendSteadily([]*host{a, b, c}, 20*time.Millisecond, 2100*time.Millisecond)
 	mu.Lock()
 	defer mu.Unlock()
 	if first.IsZero() {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -148,7 +148,7 @@
 	for i := range 10 {
 		id := fmt.Sprint("o", i)
 		if got := c.call(id, "POST", "/order/1", "k1", "x"); got.status != 200 || b.runCount(id) != 1 {
-			t.Errorf("order %s got status %d and ran %d times, want 200 and once", id, got.status, b.runCount(id))
+			t.Errorf("order %s got status %d (%v) and ran %d times, want 200 and once", id, got.status, got.header, b.runCount(id))
 		}
 	}
 	b.setHandler(shedRequest)
@@ -166,12 +166,13 @@
 // operator must be able to tell the two causes apart.
 func TestReasonOfAnAbsentUpstream(t *testing.T) {
 	_, a, _, _ := startSmallMesh(t)
+	a.stopAnnouncing()
 	for _, test := range []struct {
 		change func()
 		want   outcome.Reason
 	}{
-		// Announcement 1 was sent by startNode. After the drain time, no request is accepted.
-		{func() { a.announce(upstream.Draining, 2); time.Sleep(bounds.Drain) }, outcome.Draining},
+		// After the drain time, no request is accepted.
+		{func() { a.announce(upstream.Draining); time.Sleep(bounds.Drain) }, outcome.Draining},
 		// If another instance serves at the address, the known one is absent.
 		{func() { a.node.mu.Lock(); a.node.tracker.RecordReplacement(); a.node.mu.Unlock() }, outcome.NoUpstream},
 	} {
@@ -189,7 +190,7 @@
 // sending new requests to it.
 func TestLeavingUpstream(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
-	a.announce(upstream.Draining, 2) // startNode has sent announcement 1
+	a.announce(upstream.Draining)
 	time.Sleep(500 * time.Millisecond)
 	for i := range 20 {
 		id := fmt.Sprint("d", i)
@@ -353,10 +354,11 @@
 	cfg.Claim++
 	cfg.Listeners = Listeners{Callers: callers, Peers: l}
 	cfg.Metrics = metrics.NewRegistry()
+	h.stopAnnouncing()
 	h.node = New(cfg)
 	h.node.Start()
 	t.Cleanup(h.node.shutdown)
-	h.announce(upstream.Ready, 9) // a new node accepts any sequence number
+	h.startAnnouncing(t)
 }
 
 // During a graceful stop, requests in flight must complete, responses must close the
@@ -394,7 +396,7 @@
 	}
 	time.Sleep(announceStopDelay + 200*time.Millisecond - a.node.stoppingFor())
 	if got := c.call("other", "GET", "/read/1", "k1", ""); got.status != 200 || a.runCount("other") > 0 {
-		t.Errorf("a request at another node got status %d and ran %d times at the upstream of the stopping node, want 200 and none", got.status, a.runCount("other"))
+		t.Errorf("a request at another node got status %d (%v) and ran %d times at the upstream of the stopping node, want 200 and none", got.status, got.header, a.runCount("other"))
 	}
 	select {
 	case <-stopped:
