Follow the declaration with two readers a data centre, and gossip with digests of fixed size

Every node read every version from the store, announced it to partners anywhere and got several copies, since it asked each peer that announced it. Every node kept a read open. Digests listed all nodes.

Change: in each data centre the two nodes that rank first keep a read open; the others learn from peers in the data centre, one copy each, and get the position at the store with it. Digests say how old the last answer of the store is; as it ages, more nodes read, twice as many for every 3 s. A digest holds a hash of all records; nodes with different hashes compare 64 parts. A node is found dead by those that send digests to it: two that were not acknowledged, instead of heartbeat counters of all nodes in each digest. Records that only the store lists are contacted, but not passed on or used before a peer knows them. Changes of one moment go out in one message. Nodes refuse messages for another host.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -33,6 +33,9 @@
 type Config struct {
 	Self mesh.NodeID
 	TLS  *tls.Config // nil means no TLS, which is meant for loopback
+	// Acknowledged is called with the receiver of each batch that was delivered, unless the
+	// receiver is known only by its address. It may be nil.
+	Acknowledged func(mesh.NodeID)
 	// Unreachable is called with the receiver of each batch that could not be
 	// delivered, unless the receiver is known only by its address. It may be nil.
 	Unreachable func(mesh.NodeID)
@@ -200,6 +203,9 @@
 		if err == nil {
 			c.sent.Inc(int64(len(batch)))
 			backoff.Reset()
+			if !member.Node.IsZero() && c.cfg.Acknowledged != nil {
+				c.cfg.Acknowledged(member.Node)
+			}
 			continue
 		}
 		c.dropped.Inc(int64(len(batch)))
--- a/internal/peer/receiver.go
+++ b/internal/peer/receiver.go
@@ -24,6 +24,10 @@
 // Receiver is the HTTP handler that accepts net/rpc connections, which begin with a
 // CONNECT request, on the peer listener.
 type Receiver struct {
+	// Host, if set, is the host of this node: messages to other hosts are refused, since
+	// their sender would take this node for one that is gone. It must be set before the first
+	// connection.
+	Host     mesh.Host
 	deliver  func(mesh.Envelope)
 	messages metrics.Counter
 	bytes    metrics.Counter // of net/rpc, after decryption
@@ -104,12 +108,15 @@
 type Ack struct{}
 
 // Deliver accepts a batch of messages. The whole batch is refused if any envelope has no
-// message or a sender that the connection's certificate does not name.
+// message, a sender that the connection's certificate does not name, or another receiver.
 func (e *endpoint) Deliver(batch []mesh.Envelope, _ *Ack) error {
 	for i := range batch {
 		if err := CheckIdentity(e.tls, batch[i].From.Host); err != nil {
 			return err
 		}
+		if own := e.receiver.Host; own != "" && batch[i].To.Host != own {
+			return errors.Errorf("envelope %d of %s is for %s, not for this host %s", i, batch[i].From, batch[i].To, own)
+		}
 		if batch[i].Message == nil {
 			return errors.Errorf("envelope %d of %s has no message", i, batch[i].From)
 		}
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -1,30 +1,44 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"cardamomhatch/internal/mesh"
 )
 
-// Digest lists the versions of the records that the sender holds. The receiver replies
-// with its newer records and requests the records that are newer at the sender.
-// A digest without entries only announces a version of the declaration.
+// Digest states what the sender knows, in a few bytes.
 type Digest struct {
+	From mesh.Member
+	Root uint64 // hash of all records; zero if they are not to be compared
+	// Version is that of the declaration; zero if the sender has none. Age is the time since
+	// the store confirmed to any node that it is the newest, if Confirmed is set.
+	Version   uint64
+	Age       time.Duration
+	Confirmed bool
+}
+
+// Summary replies to a Digest with another hash: it holds the hash of each bucket.
+type Summary struct {
 	From    mesh.Member
-	Claim   uint64 // of the sender; receivers do not read it
-	Entries []Seen // include the sender's own record
-	Version uint64 // of the declaration; zero if the sender has none
+	Buckets []uint64
 }
 
-// Seen is the version of one record, given by claim and serial, and the latest known
-// heartbeat counter of its node.
-type Seen struct {
-	Host                mesh.Host
-	Claim, Serial, Beat uint64
+// Versions replies to a Summary: it lists the versions of the records in the buckets that
+// differ. The receiver replies with its newer records and requests those that are newer at
+// the sender.
+type Versions struct {
+	From    mesh.Member
+	Buckets []uint8
+	Entries []Seen
 }
 
-// News carries records that may be newer than those of the receiver.
-type News struct{ Records []Record }
+// News carries records that may be newer than those of the receiver, and nodes that are
+// taken for silent.
+type News struct {
+	Records []Record
+	Silent  []Seen
+}
 
 // Ask requests the records of some hosts, the declaration, or both.
 type Ask struct {
@@ -33,15 +47,24 @@
 	Declaration bool
 }
 
-// Declaration carries the operator's declaration as the platform stores it.
+// Declaration carries the operator's declaration as the platform stores it, and the position
+// at the store that follows it, if it is known.
 type Declaration struct {
-	Version uint64
-	Raw     []byte
+	Version     uint64
+	Raw         []byte
+	Offset      uint64
+	OffsetKnown bool
 }
 
 // MessageName implements mesh.Message.
 func (Digest) MessageName() string { return "roster-digest" }
 
+// MessageName implements mesh.Message.
+func (Summary) MessageName() string { return "roster-summary" }
+
+// MessageName implements mesh.Message.
+func (Versions) MessageName() string { return "roster-versions" }
+
 // MessageName implements mesh.Message.
 func (News) MessageName() string { return "roster-news" }
 
@@ -53,24 +76,31 @@
 
 func init() {
 	mesh.RegisterMessage(Digest{})
+	mesh.RegisterMessage(Summary{})
+	mesh.RegisterMessage(Versions{})
 	mesh.RegisterMessage(News{})
 	mesh.RegisterMessage(Ask{})
 	mesh.RegisterMessage(Declaration{})
 }
 
-// Deliver handles a message from a peer and queues the replies for Outgoing. The roster
+// Deliver handles a message from a peer, the node from, and queues the replies for Outgoing. The roster
 // holds only the version of the declaration: if sendDeclaration is true, the caller must
 // send the declaration to the returned member.
-func (r *Roster) Deliver(now time.Duration, m mesh.Message) (to mesh.Member, sendDeclaration bool) {
+func (r *Roster) Deliver(now time.Duration, from mesh.NodeID, m mesh.Message) (to mesh.Member, sendDeclaration bool) {
 	r.lastMessage = now
+	r.recordAlive(from)
 	switch m := m.(type) {
 	case Digest:
-		return r.handleDigest(now, m)
+		r.handleDigest(now, m)
+	case Summary:
+		r.compareSummary(now, m)
+	case Versions:
+		r.compareVersions(now, m)
 	case News:
 		r.handleNews(now, m)
 	case Ask:
 		if len(m.Hosts) > 0 {
-			r.send(m.From, News{Records: r.records(m.Hosts)})
+			r.sendRecords(m.From, m.Hosts)
 		}
 		if m.Declaration {
 			return m.From, true
@@ -79,109 +109,50 @@
 	return mesh.Member{}, false
 }
 
-// digest returns the versions of all records in this roster.
-func (r *Roster) digest() Digest {
-	d := Digest{From: r.self.Member, Claim: r.self.Claim, Version: r.declarationVersion}
-	d.Entries = make([]Seen, 0, len(r.entries)+1)
-	d.Entries = append(d.Entries, Seen{r.self.Member.Node.Host, r.self.Claim, r.self.Serial, r.heartbeat})
-	for host, e := range r.entries {
-		d.Entries = append(d.Entries, Seen{host, e.record.Claim, e.record.Serial, e.heartbeat})
-	}
+// digest returns the digest of this node.
+func (r *Roster) digest(now time.Duration) Digest {
+	d := r.announcement(now)
+	d.Root = r.root()
 	return d
 }
 
-// handleDigest exchanges records with the sender of a digest and requests the declaration
-// if it is newer there. If the declaration is newer here, handleDigest returns the sender
-// and true.
-func (r *Roster) handleDigest(now time.Duration, d Digest) (to mesh.Member, sendDeclaration bool) {
-	if len(d.Entries) > 0 {
-		r.exchangeRecords(now, d)
-	}
-	switch {
-	case d.Version > r.declarationVersion:
-		r.send(d.From, Ask{From: r.self.Member, Declaration: true})
-	case d.Version < r.declarationVersion:
-		return d.From, true
-	}
-	return mesh.Member{}, false
-}
-
-// exchangeRecords sends the records that the sender of a digest lacks or holds in an older
-// version, and requests the records that this node lacks or holds in an older version.
-func (r *Roster) exchangeRecords(now time.Duration, d Digest) {
-	r.synced = true
-	var missing []mesh.Host
-	seen := make(map[mesh.Host]Seen, len(d.Entries))
-	for _, s := range d.Entries {
-		seen[s.Host] = s
-		if r.observe(now, s) {
-			missing = append(missing, s.Host)
-		}
-	}
-	var newer []Record
-	if s, ok := seen[r.self.Member.Node.Host]; !ok || r.self.newer(s.Claim, s.Serial) {
-		newer = append(newer, r.self)
-	}
-	for host, e := range r.entries {
-		if s, ok := seen[host]; !ok || e.record.newer(s.Claim, s.Serial) {
-			newer = append(newer, e.record)
-		}
-	}
-	if len(newer) > 0 {
-		r.send(d.From, News{Records: newer})
-	}
-	if len(missing) > 0 {
-		r.send(d.From, Ask{From: r.self.Member, Hosts: missing})
-	}
-}
-
-// observe updates the heartbeat of a node from an entry of a digest and reports
-// whether the entry refers to a newer record than the known one. For this node's own
-// host, such a record belongs to another incarnation.
-func (r *Roster) observe(now time.Duration, s Seen) bool {
-	if s.Host == r.self.Member.Node.Host {
-		return s.Claim > r.self.Claim
+// handleDigest compares the declarations, and replies with the hashes of the buckets if the
+// records differ.
+func (r *Roster) handleDigest(now time.Duration, d Digest) {
+	r.compareDeclaration(now, d)
+	if d.Root != 0 && d.Root != r.root() {
+		r.send(d.From, Summary{From: r.self.Member, Buckets: slices.Clone(r.buckets[:])})
 	}
-	e := r.entries[s.Host]
-	if e == nil {
-		return true
-	}
-	if e.record.Claim == s.Claim && s.Beat > e.heartbeat {
-		e.heartbeat = s.Beat
-		if now-e.lastAlive > silentAfter {
-			r.changed = true // the node was silent, and work may be sent to it again
-		}
-		e.lastAlive = now
-	}
-	return s.Claim > e.record.Claim || (s.Claim == e.record.Claim && s.Serial > e.record.Serial)
 }
 
-// records returns the known records of the given hosts.
-func (r *Roster) records(hosts []mesh.Host) []Record {
-	out := make([]Record, 0, len(hosts))
+// sendRecords sends the records of some hosts to a peer that has requested them.
+func (r *Roster) sendRecords(to mesh.Member, hosts []mesh.Host) {
+	var news News
 	for _, host := range hosts {
 		if host == r.self.Member.Node.Host {
-			out = append(out, r.self)
-		} else if e := r.entries[host]; e != nil {
-			out = append(out, e.record)
+			news.Records = append(news.Records, r.self)
+		} else if e := r.entries[host]; e != nil && e.confirmed {
+			news.Records = append(news.Records, e.record)
+			if e.silent {
+				news.Silent = append(news.Silent, e.seen())
+			}
 		}
 	}
-	return out
+	r.send(to, news)
 }
 
 // handleNews merges records and forwards to some partners those that change where work
 // can be sent.
 func (r *Roster) handleNews(now time.Duration, m News) {
-	var changed []Record
 	for _, rec := range m.Records {
 		if r.merge(now, rec) {
-			changed = append(changed, rec)
+			r.changedHosts = append(r.changedHosts, rec.Member.Node.Host)
 		}
 	}
+	for _, s := range m.Silent {
+		r.learnSilence(now, s)
+	}
 	if len(m.Records) > 0 {
 		r.synced = true
 	}
-	if len(changed) > 0 {
-		r.gossip(News{Records: changed})
-	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,12 +3,19 @@
 //
 // There is no central list of nodes. A node publishes its address once, in the
 // platform's store, and learns everything else from its peers by gossip. Each node has a
-// few other nodes as its partners. In every round it sends a digest of the versions it
-// knows to one node, usually a partner, which replies with newer records. Changes of
-// state are also sent to some partners immediately, so that they reach all nodes in a few
-// rounds without a message between every pair of nodes. A node that starts while the
-// store is unavailable still joins if its peers know its address, because they keep
-// sending digests to it.
+// few other nodes as its partners, most of them in its own data centre. In every round it
+// sends a digest to one node, usually a partner. The digest has the same size in fleets of
+// any size: it holds a hash of all records, and only if the hashes of two nodes differ do
+// they compare versions, of the parts that differ. Changes are also sent to some partners
+// at once, together with other changes of the same moment, so that they reach all nodes in
+// a few rounds without a message between every pair of nodes.
+//
+// A node is found dead by those that send digests to it, since its partners are not told
+// that it lives: after two digests that were not acknowledged, they tell the others that
+// it is silent. A node that learns that it is taken for silent publishes a newer record.
+//
+// A node that starts while the store is unavailable still joins if its peers know its
+// address, because they keep sending digests to it.
 package roster
 
 import (
@@ -26,23 +33,30 @@
 const (
 	// digestInterval is the mean time between two digests of one node.
 	digestInterval = 500 * time.Millisecond
-	// partnerCount is the number of nodes that a node chooses to exchange digests
-	// with. The shortest path over partners from a node to any of n nodes has about
-	// log(n)/log(partnerCount) hops.
-	partnerCount = 8
+	// localPartners and remotePartners are the numbers of nodes in the same and in other
+	// data centres that a node chooses to exchange digests with. If its data centre has
+	// fewer other nodes, the node has more partners elsewhere. The shortest path over
+	// partners from a node to any of n nodes has about log(n)/log(partnerCount) hops.
+	localPartners  = 4
+	remotePartners = 2
+	partnerCount   = localPartners + remotePartners
 	// gossipFanout is the maximum number of partners that a change is sent to
 	// immediately.
 	gossipFanout = 3
+	// silentPartnerShare is the fraction of rounds in which the digest goes to a partner
+	// that is taken for silent, if there is one: it may have started again without access
+	// to the store.
+	silentPartnerShare = 0.25
 	// randomPeerShare is the fraction of rounds in which the digest goes to any known
 	// node instead of a partner, so that groups of nodes that have lost contact with
 	// each other reconnect. Each such round keeps an additional connection open until
 	// its idle timeout.
 	randomPeerShare = 0.1
-	// silentAfter is the time without a newer heartbeat after which a node is
-	// considered silent. It is eight digest rounds long, so that a heartbeat can reach
-	// all nodes within it.
+	// silentAfter is the time without contact to any peer after which a node counts itself
+	// as isolated, and the silence of a node that has just been found silent.
 	silentAfter = 4 * time.Second
-	// removeAfter is the time without a newer heartbeat after which a node is removed.
+	// removeAfter is the time after which a silent node is removed, and a node that only the
+	// store lists and no peer knows.
 	removeAfter = 60 * time.Second
 	// leftRetention is how long the record of a node that has left is kept, so that
 	// an older record still in transit does not add the node again.
@@ -74,6 +88,11 @@
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
 }
 
+// seen returns the version of the record.
+func (r *Record) seen(silent bool) Seen {
+	return Seen{Host: r.Member.Node.Host, Claim: r.Claim, Serial: r.Serial, Silent: silent}
+}
+
 // maxClaim bounds the claims that are accepted of records. Claims are times in Unix
 // milliseconds or follow others by one, so a larger one is not that of a node.
 const maxClaim = 1 << 62
@@ -98,47 +117,44 @@
 	return nil
 }
 
-// newer reports whether r is newer than the version given by claim and serial.
-func (r *Record) newer(claim, serial uint64) bool {
-	return r.Claim > claim || (r.Claim == claim && r.Serial > serial)
-}
-
 // AcceptsWork reports whether new work can be sent to the node, according to its
 // record.
 func (r *Record) AcceptsWork() bool { return r.Phase == Ready && !r.Stopping && !r.Left }
 
-// entry is the record of another node and the time at which it was last known to be
-// alive.
-type entry struct {
-	record    Record
-	heartbeat uint64        // highest known heartbeat counter of the record's incarnation
-	lastAlive time.Duration // arrival of the last newer record or heartbeat
-}
-
 // Roster holds what one node knows about the fleet. It is not safe for concurrent use.
 // Times are durations since the node was created.
 type Roster struct {
-	self               Record
-	heartbeat          uint64               // incremented in every digest round
-	entries            map[mesh.Host]*entry // other nodes only
-	random             *rand.Rand
-	nextDigest         time.Duration // when the next digest is due
-	declarationVersion uint64        // zero if the node has no declaration
-	changed            bool          // result of the next call of Changed
-	synced             bool          // records from a peer or the store have arrived
-	lastMessage        time.Duration // arrival of the last message from a peer
-	outgoing           []mesh.Outgoing
+	self                Record
+	selfHash            uint64               // share of the own record in the hashes of its bucket
+	entries             map[mesh.Host]*entry // other nodes only
+	buckets             [bucketCount]uint64  // hashes of the records in each bucket
+	random              *rand.Rand
+	nextDigest          time.Duration // when the next digest is due
+	declaration         declarationState
+	changed             bool          // result of the next call of Changed
+	synced              bool          // records from a peer or the store have arrived
+	lastMessage         time.Duration // arrival of the last message from a peer
+	lastAcknowledgement time.Duration // of a message, by any peer
+	silencesSince       time.Duration // start of the window in which silences counts
+	silences            int           // nodes found silent in the window
+	partners            partnerSet    // valid while partnersKnown is set
+	partnersKnown       bool
+	nextPartner         int         // index of the partner that gets the next digest
+	changedHosts        []mesh.Host // whose records are to be sent to some partners
+	outgoing            []mesh.Outgoing
 }
 
 // New returns a roster that knows only its own node. claim should be higher than that of
 // all earlier incarnations on the host. If it is not, the roster raises it when the record
 // of an earlier incarnation arrives.
 func New(self mesh.Member, claim, seed uint64) *Roster {
-	return &Roster{
+	r := &Roster{
 		self:    Record{Member: self, Claim: claim, Serial: 1},
 		entries: map[mesh.Host]*entry{},
 		random:  rand.New(rand.NewPCG(seed, claim)),
 	}
+	r.rehashSelf()
+	return r
 }
 
 // Self returns the node's own record.
@@ -149,21 +165,12 @@
 func (r *Roster) Update(urgent bool, change func(*Record)) {
 	change(&r.self)
 	r.self.Serial++
+	r.rehashSelf()
 	if urgent {
 		r.gossip(News{Records: []Record{r.self}})
 	}
 }
 
-// SetDeclarationVersion sets the version of the declaration that the node holds. A
-// newer version is announced to some partners immediately; an older one is ignored.
-func (r *Roster) SetDeclarationVersion(version uint64) {
-	if version <= r.declarationVersion {
-		return
-	}
-	r.declarationVersion = version
-	r.gossip(Digest{From: r.self.Member, Claim: r.self.Claim, Version: version})
-}
-
 // Synced reports whether a peer has sent records or their versions, or MarkSynced was
 // called. Before that, the roster cannot know the other nodes.
 func (r *Roster) Synced() bool { return r.synced }
@@ -171,18 +178,25 @@
 // MarkSynced is to be called once the records that the store lists have been merged.
 func (r *Roster) MarkSynced() { r.synced = true }
 
-// Isolated reports whether no message from a peer has arrived for longer than
-// silentAfter. The known nodes may then have shut down, and the store may list others.
-func (r *Roster) Isolated(now time.Duration) bool { return now-r.lastMessage > silentAfter }
-
-// Merge adds a record from the store. It ignores a record that is not newer than the
-// known one.
+// Merge adds a record from the store, unless a record of the host is known. Until a peer
+// knows the node too, it is only sent digests: the store keeps the records of nodes that
+// have gone.
 func (r *Roster) Merge(now time.Duration, rec Record) {
-	r.merge(now, rec)
+	host := rec.Member.Node.Host
+	if host == r.self.Member.Node.Host {
+		r.raiseClaim(&rec)
+		return
+	}
+	e := r.entries[host]
+	if e != nil && (e.confirmed || !e.record.seen(false).olderThan(rec.seen(false))) || e == nil && rec.Left {
+		return
+	}
+	r.entries[host] = &entry{record: rec, since: now}
+	r.changed, r.partnersKnown = true, false
 }
 
-// merge adds a record if it is newer than the known one, and reports whether it may
-// change where work can be sent. A record of this node's own host is not added, but
+// merge adds a record from a peer if it is newer than the known one, and reports whether it
+// may change where work can be sent. A record of this node's own host is not added, but
 // may raise the node's claim.
 func (r *Roster) merge(now time.Duration, rec Record) bool {
 	host := rec.Member.Node.Host
@@ -195,19 +209,22 @@
 		if rec.Left {
 			return false
 		}
-		r.entries[host] = &entry{record: rec, lastAlive: now}
-		r.changed = true
-		return true
-	}
-	if !rec.newer(e.record.Claim, e.record.Serial) {
+		e = &entry{}
+		r.entries[host] = e
+	} else if e.confirmed && !e.seen().olderThan(rec.seen(false)) {
 		return false
 	}
-	old := e.record
-	if rec.Claim != old.Claim {
-		e.heartbeat = 0
+	old := *e
+	if old.record.Claim != rec.Claim || !old.confirmed {
+		e.patience = 0
 	}
-	e.record, e.lastAlive = rec, now
-	routingChanged := old.AcceptsWork() != rec.AcceptsWork() || old.Member != rec.Member || old.Instance != rec.Instance || old.Slots != rec.Slots
+	e.record, e.confirmed, e.silent, e.since, e.failures = rec, true, false, now, 0
+	r.rehash(e, now)
+	if old.record.Member != rec.Member || old.silent || old.record.Left != rec.Left || !old.confirmed {
+		r.partnersKnown = false
+	}
+	routingChanged := !old.confirmed || old.silent || old.record.AcceptsWork() != rec.AcceptsWork() || old.record.Member != rec.Member ||
+		old.record.Instance != rec.Instance || old.record.Slots != rec.Slots
 	r.changed = r.changed || routingChanged
 	return routingChanged
 }
@@ -219,8 +236,13 @@
 	if other.Member.Node == r.self.Member.Node || other.Claim < r.self.Claim {
 		return
 	}
-	r.self.Claim = other.Claim + 1
-	r.self.Serial++
+	r.supersede(other.Claim+1, r.self.Serial+1)
+}
+
+// supersede publishes the node's own record with a higher version.
+func (r *Roster) supersede(claim, serial uint64) {
+	r.self.Claim, r.self.Serial = claim, serial
+	r.rehashSelf()
 	r.gossip(News{Records: []Record{r.self}})
 }
 
@@ -233,10 +255,10 @@
 }
 
 // ForEach calls f for every other known node, including those that have left. silent is
-// the time since the node was last known to be alive.
+// the time for which the node has been silent.
 func (r *Roster) ForEach(now time.Duration, f func(rec *Record, silent time.Duration)) {
 	for _, e := range r.entries {
-		f(&e.record, now-e.lastAlive)
+		f(&e.record, e.silence(now))
 	}
 }
 
@@ -261,11 +283,11 @@
 }
 
 // Members returns the nodes of a service to which work can be sent, including the
-// node itself. Silent nodes are returned only if there are no others: to a node
-// that has lost its connections, all others appear silent, and trying them is better
-// than failing.
+// node itself. Silent nodes and nodes that no peer knows are returned only if there are no
+// others: to a node that has lost its connections, all others appear silent, and trying
+// them is better than failing.
 func (r *Roster) Members(now time.Duration, service mesh.Service) []Record {
-	var live, silent []Record
+	var live, doubtful []Record
 	if r.self.Member.Service == service && r.self.AcceptsWork() {
 		live = append(live, r.self)
 	}
@@ -273,14 +295,14 @@
 		if e.record.Member.Service != service || !e.record.AcceptsWork() {
 			continue
 		}
-		if now-e.lastAlive > silentAfter {
-			silent = append(silent, e.record)
+		if e.silent || !e.confirmed {
+			doubtful = append(doubtful, e.record)
 			continue
 		}
 		live = append(live, e.record)
 	}
 	if len(live) == 0 {
-		live = silent
+		live = doubtful
 	}
 	slices.SortFunc(live, func(a, b Record) int {
 		return cmp.Compare(a.Member.Node.Host, b.Member.Node.Host)
@@ -288,14 +310,15 @@
 	return live
 }
 
-// Tick queues the digest of a round when it is due, and returns the queued messages.
+// Tick queues the changes since the last call, and the digest of a round when it is due,
+// and returns the queued messages.
 func (r *Roster) Tick(now time.Duration) []mesh.Outgoing {
+	r.sendChanges()
 	if now >= r.nextDigest {
 		r.nextDigest = now + digestInterval*3/4 + time.Duration(r.random.Int64N(int64(digestInterval/2)))
-		r.heartbeat++
 		r.expire(now)
-		if to, ok := r.chooseReceiver(); ok {
-			r.send(to, r.digest())
+		if to, ok := r.chooseReceiver(now); ok {
+			r.send(to, r.digest(now))
 		}
 	}
 	return r.Outgoing()
@@ -308,79 +331,34 @@
 	return out
 }
 
-// expire removes the nodes that have been silent for longer than removeAfter and those
-// that left longer than leftRetention ago. It sets the changed flag when a node is
-// removed or has just become silent.
+// expire removes the nodes that have been silent or unconfirmed for longer than
+// removeAfter and those that left longer than leftRetention ago.
 func (r *Roster) expire(now time.Duration) {
 	for host, e := range r.entries {
-		age := now - e.lastAlive
-		if age > removeAfter || (e.record.Left && age > leftRetention) {
+		age := now - e.since
+		switch {
+		case (e.silent || !e.confirmed) && age > removeAfter, e.record.Left && age > leftRetention:
+			r.buckets[bucketOf(host)] ^= e.hash
 			delete(r.entries, host)
-			r.changed = true
-		} else if age > silentAfter && age <= silentAfter+2*digestInterval {
-			// No round is as long as this interval, so at least one call of expire falls into it.
-			r.changed = true
-		}
-	}
-}
-
-// chooseReceiver returns the node that receives the digest of this round: mostly a
-// partner, sometimes any node. It returns false if no other node is known.
-func (r *Roster) chooseReceiver() (mesh.Member, bool) {
-	candidates := r.activeMembers()
-	if len(candidates) == 0 {
-		return mesh.Member{}, false
-	}
-	if r.random.Float64() >= randomPeerShare {
-		candidates = r.partners(candidates)
-	}
-	return candidates[r.random.IntN(len(candidates))], true
-}
-
-// partners returns the partners of this node: the partnerCount members with the highest
-// rendezvous scores for its host. It may reorder members.
-func (r *Roster) partners(members []mesh.Member) []mesh.Member {
-	if len(members) <= partnerCount {
-		return members
-	}
-	mesh.RankMembers(string(r.self.Member.Node.Host), members)
-	return members[:partnerCount]
-}
-
-// activeMembers returns the other nodes that have not left, sorted by host.
-func (r *Roster) activeMembers() []mesh.Member {
-	members := make([]mesh.Member, 0, len(r.entries))
-	for _, e := range r.entries {
-		if !e.record.Left {
-			members = append(members, e.record.Member)
+			r.changed, r.partnersKnown = true, false
+		case e.silent && age > unlistedAfter && e.hash != 0:
+			r.rehash(e, now)
 		}
 	}
-	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(a.Node.Host, b.Node.Host) })
-	return members
 }
 
 func (r *Roster) send(to mesh.Member, m mesh.Message) {
 	r.outgoing = append(r.outgoing, mesh.Outgoing{To: to, Message: m})
 }
 
-// gossip queues a message to up to gossipFanout random partners. The partners differ from
-// node to node, so a change spreads as fast as with random receivers, but over connections
-// that are already open.
-func (r *Roster) gossip(m mesh.Message) {
-	candidates := r.partners(r.activeMembers())
-	r.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	for _, to := range candidates[:min(gossipFanout, len(candidates))] {
-		r.send(to, m)
-	}
-}
-
 // Leave marks the node's own record as left and returns the queued messages, which now
 // include one to every partner.
 func (r *Roster) Leave() []mesh.Outgoing {
 	r.self.Left = true
 	r.self.Serial++
+	r.rehashSelf()
 	m := News{Records: []Record{r.self}}
-	for _, to := range r.partners(r.activeMembers()) {
+	for _, to := range r.currentPartners().live {
 		r.send(to, m)
 	}
 	return r.Outgoing()
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -34,15 +34,22 @@
 	isolationCheckInterval = 10 * time.Second
 )
 
-// followDeclaration reads new versions of the operator's declaration from the store
-// until the node shuts down.
+// followDeclaration reads new versions of the operator's declaration from the store, if the
+// planner lets this node read, until the node shuts down.
 func (n *Node) followDeclaration() {
-	var cursor Cursor
 	planner := watch.NewPlanner(n.cfg.Seed)
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost := false
 	for {
-		raw, next, err := n.readDeclaration(cursor, planner.Next(n.fleetSize(), !cursor.Known))
+		cursor, view := n.readState()
+		plan := planner.Next(view)
+		if plan.Delay > 0 {
+			if !n.pause(plan.Delay) {
+				return
+			}
+			continue
+		}
+		raw, next, err := n.readDeclaration(cursor, plan)
 		if n.runCtx.Err() != nil {
 			return
 		}
@@ -51,12 +58,15 @@
 		}
 		storeLost = storeLost || err != nil
 		if errors.Is(err, context.DeadlineExceeded) {
-			planner.Unanswered() // the next read starts at once, because this one took long enough
+			planner.Unanswered()
+			if !n.pause(watch.ErrorPause(view)) { // no backoff, because this read took long enough
+				return
+			}
 			continue
 		}
 		planner.Answered()
 		if err != nil {
-			if !n.pause(backoff.Next()) {
+			if !n.pause(max(watch.ErrorPause(view), backoff.Next())) {
 				return
 			}
 			continue
@@ -66,19 +76,50 @@
 				"answered_ms", n.since(&n.storeAnswered).Milliseconds())
 			storeLost = false
 		}
-		n.storeAnswered.Store(int64(n.now()))
+		answered := n.now()
+		n.storeAnswered.Store(int64(answered))
 		backoff.Reset()
-		cursor = next
-		if raw == nil {
-			continue
+		n.advanceCursor(next)
+		if raw != nil {
+			n.applyDeclaration(roster.Declaration{Raw: raw}, "store", "")
 		}
-		n.applyDeclaration(raw, "store", "")
-		if !n.pause(minReadInterval) {
+		n.confirmDeclaration(answered)
+		if raw != nil && !n.pause(minReadInterval) {
 			return
 		}
 	}
 }
 
+// readState returns the position at the store and what the planner needs to know.
+func (n *Node) readState() (Cursor, watch.View) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	return n.cursor, watch.View{
+		First: !n.cursor.Known, Uptime: now, Rank: n.roster.ReaderRank(), Isolated: n.roster.Isolated(now), Age: n.roster.DeclarationAge(now),
+	}
+}
+
+// advanceCursor records the position at the store up to which the declarations are known. The
+// zero cursor makes the next read list the newest declaration.
+func (n *Node) advanceCursor(next Cursor) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if next.Known && n.cursor.Known && next.Offset < n.cursor.Offset {
+		return // a peer has sent a later declaration during the read
+	}
+	n.cursor = next
+}
+
+// confirmDeclaration records that the store held no newer declaration at the given time.
+func (n *Node) confirmDeclaration(at time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current.Load() != nil {
+		n.roster.ConfirmDeclaration(at)
+	}
+}
+
 // readDeclaration makes one read of the declaration. The error is or wraps
 // context.DeadlineExceeded if the store did not answer in time.
 func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) ([]byte, Cursor, error) {
@@ -102,13 +143,6 @@
 		"read_open_ms", n.since(&n.readBegan).Milliseconds(), "answered_ms", n.since(&n.storeAnswered).Milliseconds())
 }
 
-// fleetSize returns the number of nodes that this node knows of, itself included.
-func (n *Node) fleetSize() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Len()
-}
-
 // declarationVersion returns the version of the declaration in force, or zero without one.
 func (n *Node) declarationVersion() uint64 {
 	if c := n.current.Load(); c != nil {
@@ -120,7 +154,11 @@
 // applyDeclaration puts a declaration into force if its version is higher than the one
 // in force, so the version never decreases within one incarnation of the node. source
 // and from, the host of the peer that sent the declaration, are used for the log only.
-func (n *Node) applyDeclaration(raw []byte, source, from string) {
+func (n *Node) applyDeclaration(d roster.Declaration, source, from string) {
+	if d.Version > 0 && d.Version <= n.declarationVersion() {
+		return
+	}
+	raw := d.Raw
 	c, err := n.cfg.Source.Decode(raw)
 	if err != nil {
 		n.metrics.rejectedDeclarations.Inc(1)
@@ -135,8 +173,11 @@
 	}
 	n.current.Store(c)
 	n.rawDeclaration = bytes.Clone(raw)
+	if d.OffsetKnown && (!n.cursor.Known || d.Offset > n.cursor.Offset) {
+		n.cursor = Cursor{Offset: d.Offset, Known: true}
+	}
 	n.configureComponents(c)
-	n.roster.SetDeclarationVersion(c.Version)
+	n.roster.SetDeclarationVersion(n.now(), c.Version)
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.metrics.declaration.Update(int64(c.Version))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -70,6 +70,7 @@
 
 	mu             sync.Mutex // guards the fields below
 	rawDeclaration []byte     // the declaration as stored, for peers that lack it
+	cursor         Cursor     // position at the store up to which declarations are known
 	roster         *roster.Roster
 	tracker        *upstream.Tracker
 	gate           *slots.Gate
@@ -125,8 +126,12 @@
 		Address: cfg.UpstreamAddress, DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout,
 		OnConnect: func() { n.metrics.upstreamConnections.Inc(1) },
 	})
-	n.controlClient = peer.NewClient(peer.Config{Self: cfg.Self.Node, Metrics: cfg.Metrics, Seed: cfg.Seed, Idle: controlIdleTimeout})
+	n.controlClient = peer.NewClient(peer.Config{
+		Self: cfg.Self.Node, Metrics: cfg.Metrics, Seed: cfg.Seed, Idle: controlIdleTimeout,
+		Acknowledged: n.recordAcknowledged, Unreachable: n.recordUnreachable,
+	})
 	n.receiver = peer.NewReceiver(cfg.Metrics, n.handleMessage)
+	n.receiver.Host = cfg.Self.Node.Host
 	return n
 }
 
@@ -254,7 +259,7 @@
 // handleMessage processes one control message from a peer.
 func (n *Node) handleMessage(e mesh.Envelope) {
 	if d, ok := e.Message.(roster.Declaration); ok {
-		n.applyDeclaration(d.Raw, "peer", string(e.From.Host))
+		n.applyDeclaration(d, "peer", string(e.From.Host))
 		return
 	}
 	n.mu.Lock()
@@ -267,16 +272,38 @@
 		n.send(out)
 		return
 	}
-	to, sendDeclaration := n.roster.Deliver(n.now(), e.Message)
+	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
 	if sendDeclaration && n.rawDeclaration != nil {
-		out = append(out, mesh.Outgoing{To: to, Message: roster.Declaration{Version: n.current.Load().Version, Raw: n.rawDeclaration}})
+		out = append(out, mesh.Outgoing{To: to, Message: roster.Declaration{
+			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known,
+		}})
 	}
 	n.mu.Unlock()
 	n.send(out)
 }
 
+// recordAcknowledged records that a peer has acknowledged control messages.
+func (n *Node) recordAcknowledged(id mesh.NodeID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.RecordAcknowledged(n.now(), id)
+}
+
+// recordUnreachable records that a peer has not acknowledged control messages.
+func (n *Node) recordUnreachable(id mesh.NodeID) {
+	n.mu.Lock()
+	silent := n.roster.RecordUnreachable(n.now(), id)
+	out := n.roster.Outgoing()
+	n.refreshTable(n.now())
+	n.mu.Unlock()
+	n.send(out)
+	if silent {
+		n.cfg.Log.Write(eventlog.Observation, "peer silent", "peer", id.Host)
+	}
+}
+
 // refreshTable updates the routing table if the set of usable nodes may have changed.
 // n.mu must be held.
 func (n *Node) refreshTable(now time.Duration) {
