Round the retry budget of a node at random

Cause: a node's share of the fleet's bound was rounded down. With 95 nodes the share of the allowance is 0.26 retries, and that of the requests of one service in ten seconds mostly below one, so most nodes could not retry at all while the bound of the fleet stood unused.

Change: a number at random between 0 and 1 is added before rounding down, drawn anew every minute, so that the expected sum over the nodes is that of the shares. Nodes that have been silent for ten seconds no longer take part in the division (before: a minute).

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cardamomhatch/internal/mesh"
@@ -11,6 +12,10 @@
 // coordination: each spends the ratio of its own requests and its share of the allowance.
 // The calls of a retried request count as retries at the services that it calls, so they
 // are charged to the budgets of those services before any retry there.
+//
+// In a large fleet the share of a node is often less than one retry in a window. It is rounded
+// at random, so that the nodes together may spend what the bound permits: rounded down, the
+// shares of 95 nodes would permit none.
 const (
 	budgetBuckets = 20 // per window
 	// ratioShare is the fraction of the ratio that is spent. The rest covers calls of
@@ -20,6 +25,9 @@
 	// causes a retry for each of its calls to other services, whose allowance is no
 	// larger.
 	allowanceShare = 0.2
+	// roundingWindows is the number of windows after which a node draws again how it rounds
+	// its share. It is large because a window with two draws can hold two rounded-up retries.
+	roundingWindows = 6
 )
 
 // classShares are the fractions of the budget up to which the requests of a class may be
@@ -37,12 +45,15 @@
 	Window    time.Duration // length of the sliding window
 }
 
-// Budget is one node's share of the bound at one service. The zero value is ready for
-// use.
+// Budget is one node's share of the bound at one service.
 type Budget struct {
+	seed    uint64
 	buckets [budgetBuckets]bucket // ring buffer
 }
 
+// NewBudget returns a budget. The seeds of different nodes and services must differ.
+func NewBudget(seed uint64) *Budget { return &Budget{seed: seed} }
+
 // bucket counts one interval of the window.
 type bucket struct {
 	interval        int64 // number of the interval since time zero
@@ -74,13 +85,22 @@
 	if nodes > 0 {
 		limit += cfg.Allowance * allowanceShare / float64(nodes)
 	}
-	if float64(retries+1) > limit*classShares[min(class, mesh.NumClasses-1)] {
+	if float64(retries+1) > limit*classShares[min(class, mesh.NumClasses-1)]+b.rounding(now, cfg) {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// rounding returns what is added to the limit before it is rounded down, at least 0 and less
+// than 1. Nodes draw at different times.
+func (b *Budget) rounding(now time.Duration, cfg BudgetConfig) float64 {
+	period := uint64(max(roundingWindows*cfg.Window, 1))
+	offset := rand.NewPCG(b.seed, 0).Uint64() % period
+	draw := rand.New(rand.NewPCG(b.seed, 1+(uint64(max(now, 0))+offset)/period))
+	return draw.Float64()
+}
+
 // currentBucket returns the bucket of the current interval. It clears the bucket if it
 // still counts an earlier interval.
 func (b *Budget) currentBucket(now time.Duration, cfg BudgetConfig) *bucket {
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -8,13 +8,65 @@
 	"cardamomhatch/internal/mesh"
 )
 
+var lastSeed uint64
+
+// newBudgets returns the budgets of several nodes.
+func newBudgets(nodes int) []*Budget {
+	out := make([]*Budget, nodes)
+	for i := range out {
+		lastSeed++
+		out[i] = NewBudget(lastSeed)
+	}
+	return out
+}
+
+// In a large fleet each node sees a few requests of a service in a window, so its share of
+// the bound is less than one retry. The fleet must still be able to spend what its shares add
+// up to, and never more than the bound.
+func TestBudgetOfALargeFleet(t *testing.T) {
+	cfg := BudgetConfig{Ratio: 0.2, Allowance: 124, Window: 10 * time.Second}
+	for _, nodes := range []int{95, 300} {
+		random := rand.New(rand.NewPCG(4, 4))
+		budgets := newBudgets(nodes)
+		const perSecond, length = 100, 5 * time.Minute
+		retries := make([]int, length/time.Second)
+		for now := time.Duration(0); now < length; now += time.Second / perSecond {
+			b := budgets[random.IntN(nodes)]
+			b.RecordFirst(now, cfg)
+			if random.Float64() < 0.5 && b.Allow(now, cfg, nodes, mesh.ClassCritical) {
+				retries[now/time.Second]++
+			}
+		}
+		share := ratioShare*cfg.Ratio*perSecond*10 + allowanceShare*cfg.Allowance
+		total := 0
+		for i := range retries {
+			total += retries[i]
+			if i < 20 {
+				continue
+			}
+			inWindow := 0
+			for _, n := range retries[i-9 : i+1] {
+				inWindow += n
+			}
+			if bound := cfg.Ratio*perSecond*10 + cfg.Allowance; float64(inWindow) > bound {
+				t.Errorf("%d nodes: %d retries in ten seconds, want at most %.0f", nodes, inWindow, bound)
+			}
+		}
+		mean := float64(total) / (length.Seconds() / 10)
+		t.Logf("%d nodes: %.0f retries in ten seconds, the shares add up to %.0f", nodes, mean, share)
+		if mean < 0.6*share {
+			t.Errorf("%d nodes: %.0f retries in ten seconds, want at least 0.6 of %.0f", nodes, mean, share)
+		}
+	}
+}
+
 // Many nodes on which every request fails must together keep the bound of the fleet in
 // every window, although they do not communicate.
 func TestBudgetOverTheFleet(t *testing.T) {
 	cfg := BudgetConfig{Ratio: 0.2, Allowance: 48, Window: 10 * time.Second}
 	const nodes = 15
 	random := rand.New(rand.NewPCG(1, 1))
-	budgets := make([]Budget, nodes)
+	budgets := newBudgets(nodes)
 	type count struct{ firsts, retries int }
 	var intervals []count // one per 100 ms
 	for now := time.Duration(0); now < 40*time.Second; now += 100 * time.Millisecond {
@@ -73,14 +125,17 @@
 		perSecond            = 40 // requests at the first layer
 	)
 	random := rand.New(rand.NewPCG(2, 2))
-	budgets := make([][nodes]Budget, layers)
+	budgets := make([][]*Budget, layers)
+	for layer := range budgets {
+		budgets[layer] = newBudgets(nodes)
+	}
 	var firsts, retries [layers]int
 	var run func(now time.Duration, layer int, retry bool)
 	run = func(now time.Duration, layer int, retry bool) {
 		if layer == layers {
 			return
 		}
-		b := &budgets[layer][random.IntN(nodes)]
+		b := budgets[layer][random.IntN(nodes)]
 		countedAsRetry := retry
 		if layer > 0 && random.Float64() < 0.2 {
 			countedAsRetry = false
@@ -124,7 +179,7 @@
 	cfg := BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
 	const failureRate, calls = 0.55, 5
 	random := rand.New(rand.NewPCG(3, 3))
-	var b Budget
+	b := NewBudget(1)
 	var served, requested [mesh.NumClasses]int
 	// serve simulates a request that makes its calls one after the other, and reports
 	// whether all succeed.
@@ -162,7 +217,7 @@
 // at once, each would use all of it.
 func TestNoAllowanceForUnknownFleet(t *testing.T) {
 	cfg := BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
-	var b Budget
+	b := NewBudget(1)
 	if b.Allow(0, cfg, 0, mesh.ClassCritical) {
 		t.Error("a retry is allowed without any request while the fleet is not known")
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -55,6 +55,9 @@
 	// silentAfter is the time without contact to any peer after which a node counts itself
 	// as isolated, and the silence of a node that has just been found silent.
 	silentAfter = 4 * time.Second
+	// forgottenAfter is the silence after which a node no longer counts as one of those among
+	// which bounds of the fleet are divided.
+	forgottenAfter = 10 * time.Second
 	// removeAfter is the time after which a silent node is removed, and a node that only the
 	// store lists and no peer knows.
 	removeAfter = 60 * time.Second
@@ -271,11 +274,12 @@
 	return e.record.Member, true
 }
 
-// Len returns the number of nodes that have not left, including the node itself.
-func (r *Roster) Len() int {
+// Len returns the number of nodes that have not left, including the node itself. Nodes that
+// have been silent for longer than forgottenAfter do not count.
+func (r *Roster) Len(now time.Duration) int {
 	n := 1
 	for _, e := range r.entries {
-		if !e.record.Left {
+		if !e.record.Left && e.silence(now) <= forgottenAfter {
 			n++
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -207,7 +207,7 @@
 	n.rosters[m.Node.Host] = New(m, 400, 99) // lower than the previous claim
 	n.rosters[m.Node.Host].Update(true /* urgent */, func(r *Record) { r.Phase = Ready })
 	n.run(5 * time.Second)
-	if got := n.rosters[m.Node.Host].Len(); got != 15 {
+	if got := n.rosters[m.Node.Host].Len(n.now); got != 15 {
 		t.Errorf("the restarted node knows %d nodes, want 15", got)
 	}
 	for h, r := range n.rosters {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -188,7 +188,7 @@
 	defer n.mu.Unlock()
 	nodes := 0 // size of the fleet; zero: not known
 	if n.storeListed {
-		nodes = n.roster.Len()
+		nodes = n.roster.Len(n.now())
 	}
 	ok := n.budget(c.service).Allow(n.now(), n.cfg.Bounds.Retry, nodes, c.level.RouteClass())
 	if ok {
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -181,7 +181,7 @@
 	gauge("gate.queued", int64(n.gate.Queued()))
 	gauge("gate.limit", int64(n.gate.Limit()))
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
-	gauge("roster.nodes", int64(n.roster.Len()))
+	gauge("roster.nodes", int64(n.roster.Len(now)))
 	gauge("upstream.announced_ms", n.tracker.Age(now).Milliseconds())
 	n.mu.Unlock()
 	gauge("requests.open", n.openRequests.Load())
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -281,7 +281,7 @@
 	n.roster.MarkSynced()
 	n.storeListed = true
 	n.refreshTable(n.now())
-	nodes := n.roster.Len()
+	nodes := n.roster.Len(n.now())
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.cfg.Log.Write(eventlog.Observation, "nodes listed", "records", len(records), "nodes", nodes)
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -302,7 +302,7 @@
 	waitForSmallMesh(t, a, b, c)
 	for _, h := range []*host{a, b, c} {
 		h.node.mu.Lock()
-		nodes, claim := h.node.roster.Len(), h.node.roster.Self().Claim
+		nodes, claim := h.node.roster.Len(h.node.now()), h.node.roster.Self().Claim
 		h.node.mu.Unlock()
 		if nodes != 3 || claim < uint64(h.node.started.UnixMilli())/2 {
 			t.Errorf("%s knows %d nodes and has claim %d, want 3 and about the time of its start", h.node.cfg.Self.Node.Host, nodes, claim)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"io"
 	stdlog "log"
 	"net"
@@ -344,7 +345,9 @@
 func (n *Node) budget(s mesh.Service) *retry.Budget {
 	b := n.budgets[s]
 	if b == nil {
-		b = &retry.Budget{}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(s)) // never fails
+		b = retry.NewBudget(n.cfg.Seed ^ h.Sum64())
 		n.budgets[s] = b
 	}
 	return b
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -125,7 +125,7 @@
 func (n *Node) slotRefusal(reason outcome.Reason) outcome.Refusal {
 	refusal := n.refusal(outcome.NotRun, reason, "")
 	if limit := n.gate.RateLimit(); reason == outcome.UpstreamLimited && limit > 0 {
-		contenders := float64(min(n.roster.Len(), maxContenders))
+		contenders := float64(min(n.roster.Len(n.now()), maxContenders))
 		refusal.RetryAfter = min(time.Duration(contenders/limit*float64(time.Second)), maxPause)
 		refusal.Detail = "the upstream takes " + strconv.FormatFloat(limit, 'f', 1, 64) + " requests a second"
 	}
