Take the silence of an upstream that answers others for a sign of load

Cause: some upstreams never respond to a request that they cannot queue. The request ended as deadline-exceeded and counted as a failure of the upstream; all idle connections to it were closed, and as the entry node gave up 15 ms before the serving node, it also closed those to the peer, and the caller got no reason from the serving node.

Change: a request that is still unanswered after its deadline ends as upstream-silent (504, may have run) if others were answered meanwhile. It counts as a refusal for load at the gate and in the routing table. A timeout closes the connection and those that have not been in use since the request was sent. The entry node waits twice as long beyond the deadline as the serving node, up to 60 ms if the caller still waits.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -77,12 +77,14 @@
 // Do sends a request and returns its response once the header has been read. If ctx
 // ends before the response is closed, the connection is closed. Errors are of type
 // *Failure. If sending or reading times out, by the deadline of the request or of ctx, the
-// pool is invalidated.
+// idle connections that have not been in use since the request was sent are closed, too:
+// the connections to a server can all go silent at once.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.get(ctx, r.MaxIdle)
 	if err != nil {
 		return nil, &Failure{Cause: err}
 	}
+	began := time.Now()
 	_ = c.SetDeadline(r.Deadline) // fails only if the connection is closed; the write then fails, too
 	resp := &Response{pool: p, conn: c, Reused: !c.lastUsed.IsZero()}
 	resp.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
@@ -96,7 +98,7 @@
 		var timeout interface{ Timeout() bool }
 		timedOut := (errors.As(err, &timeout) && timeout.Timeout()) || errors.Is(ctx.Err(), context.DeadlineExceeded)
 		if timedOut {
-			p.Invalidate()
+			p.closeUnusedSince(began)
 		}
 		return nil, &Failure{Sent: sent, Timeout: timedOut, Cause: errors.Wrapf(err, "%s %s", r.Method, p.cfg.Address)}
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -305,6 +305,57 @@
 	}
 }
 
+// Some servers never respond to a request that they cannot queue, nor to a later one on its
+// connection, while they answer others. Only that connection must be closed: new ones are
+// dear, and those that have answered meanwhile are sound.
+func TestSilenceOnOneConnectionKeepsTheOthers(t *testing.T) {
+	silent := map[net.Conn]bool{}
+	var mu sync.Mutex
+	address, accepted := startUpstream(t, func(_ int, c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("X-Id")
+		mu.Lock()
+		silent[c] = silent[c] || id == "hangs"
+		hangs := silent[c]
+		mu.Unlock()
+		if !hangs {
+			time.Sleep(20 * time.Millisecond) // so that concurrent requests need connections of their own
+			io.WriteString(c, rawResponse(id, "ok"))
+		}
+		return true
+	})
+	p := New(Config{Address: address, DialTimeout: time.Second})
+	fetchFour := func() {
+		var wg sync.WaitGroup
+		for i := range 4 {
+			wg.Go(func() {
+				if _, err := fetch(t, p, newGet(fmt.Sprint("id", i))); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	fetchFour()
+	hung := make(chan error)
+	go func() {
+		r := newGet("hangs")
+		r.Deadline = time.Now().Add(200 * time.Millisecond)
+		_, err := p.Do(context.Background(), r)
+		hung <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	fetchFour()
+	before := accepted.Load()
+	var failure *Failure
+	if err := <-hung; !errors.As(err, &failure) || !failure.Timeout || !failure.Sent {
+		t.Fatalf("the request without a response gave %v, want a timeout after it was sent", err)
+	}
+	fetchFour()
+	if got := accepted.Load() - before; got != 0 {
+		t.Errorf("%d connections were opened after the timeout, want none: four have answered since the request was sent", got)
+	}
+}
+
 // When the context ends because the caller has disconnected, the connection must be
 // closed, so that the upstream can stop its work.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,6 +13,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -190,7 +191,7 @@
 }
 
 // Invalidate closes the idle connections and prevents the reuse of those that are in
-// use now. It is called when the server has restarted or a request to it has timed out.
+// use now. It is called when the server has restarted.
 func (p *Pool) Invalidate() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -201,6 +202,19 @@
 	p.idle = nil
 }
 
+// closeUnusedSince closes the idle connections whose last response came before the given time.
+func (p *Pool) closeUnusedSince(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		unused := c.lastUsed.Before(t)
+		if unused {
+			c.Close()
+		}
+		return unused
+	})
+}
+
 // Trim closes the connections that have been idle for too long. It is to be called
 // regularly, as the pool itself closes them only when a connection is requested.
 func (p *Pool) Trim() {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -71,6 +71,7 @@
 	TooLarge
 	UpstreamShed
 	UpstreamLimited // the upstream names a limit on its requests per second, which is used up
+	UpstreamSilent  // the upstream answered others, but not this request until its deadline
 
 	numReasons
 )
@@ -114,6 +115,7 @@
 	TooLarge:         {"too-large", http.StatusRequestEntityTooLarge},
 	UpstreamShed:     {"upstream-shed", http.StatusServiceUnavailable},
 	UpstreamLimited:  {"upstream-limited", http.StatusServiceUnavailable},
+	UpstreamSilent:   {"upstream-silent", http.StatusGatewayTimeout},
 }
 
 // String returns the name of the reason in the wire format.
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// peerGrace extends the deadline of a request forwarded to a peer, so that the
-	// peer's report of whether the request ran arrives before this node times out.
-	peerGrace = 15 * time.Millisecond
+	// maxGrace is the longest time beyond the deadline of a request for which this node
+	// waits for the response.
+	maxGrace = 60 * time.Millisecond
+	// responseMargin is the part of timeoutMargin that is left for the way of the response to
+	// the caller.
+	responseMargin = 4 * time.Millisecond
 	// maxNodesTried limits the nodes tried for one request. Attempts that may have
 	// reached an upstream do not count.
 	maxNodesTried = 3
@@ -62,12 +65,18 @@
 	return a
 }
 
+// grace returns how long beyond the deadline this node waits for a response that was sent at
+// the deadline. If the route's timeout ends the request, the caller still waits, too.
+func (c *call) grace() time.Duration {
+	return min(c.expires-c.deadline-responseMargin, maxGrace)
+}
+
 // forward sends the request to a peer and stores the outcome in a.
 func (c *call) forward(a *attempt, h hop, r exchange.Request) {
 	n := c.node
 	r.Header = endToEndHeaders(r.Header, n.cfg.Dialect.Key)
 	r.Header[hopHeader] = []string{h.encode()}
-	r.Deadline = n.started.Add(c.deadline + peerGrace)
+	r.Deadline = n.started.Add(c.deadline + c.grace())
 	n.mu.Lock()
 	pool := n.pool(a.target.PeerAddress)
 	n.mu.Unlock()
@@ -143,7 +152,7 @@
 	switch r.Reason {
 	case outcome.CallerGone:
 		return routing.Cancelled
-	case outcome.Overloaded, outcome.QueueTimeout, outcome.UpstreamShed:
+	case outcome.Overloaded, outcome.QueueTimeout, outcome.UpstreamShed, outcome.UpstreamSilent:
 		return routing.Refused
 	case outcome.UpstreamLimited:
 		return routing.Limited
@@ -163,7 +172,7 @@
 		return false
 	}
 	switch r.Reason {
-	case outcome.CallerGone, outcome.DeadlineExceeded, outcome.BadRequest:
+	case outcome.CallerGone, outcome.DeadlineExceeded, outcome.UpstreamSilent, outcome.BadRequest:
 		return false
 	}
 	if len(c.triedNodes) >= maxNodesTried+c.attempts {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -298,7 +298,7 @@
 	remaining := max(c.deadline-c.node.now(), time.Millisecond)
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.node.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Nested: c.nested,
-		NonIdempotent: !c.route.Idempotent, Retry: c.parentIsRetry || c.attempts > 0, Remaining: remaining, MaxWait: c.waitLimit(remaining),
+		NonIdempotent: !c.route.Idempotent, Retry: c.parentIsRetry || c.attempts > 0, Remaining: remaining, MaxWait: c.waitLimit(remaining), Grace: c.grace() / 2, // the rest is for the way back
 	}
 	if c.workspace != nil {
 		h.Workspace = c.workspace.Name
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -67,7 +67,7 @@
 	switch {
 	case r.Execution == outcome.NotRun:
 		return http.StatusServiceUnavailable
-	case r.Reason == outcome.DeadlineExceeded:
+	case r.Reason == outcome.DeadlineExceeded || r.Reason == outcome.UpstreamSilent:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -37,13 +38,14 @@
 	Retry         bool          // a retry, or a nested call of a retry
 	Remaining     time.Duration // until the deadline
 	MaxWait       time.Duration // longest time in the queue of the serving node
+	Grace         time.Duration // for which a response is awaited beyond the deadline
 }
 
 // encode returns the value of hopHeader. Names are not escaped: catalog.New rejects
 // declared names that contain a separator. The names of the caller and the target host
 // come from settings, which do not reject separators; the peer refuses a request with
-// such a name. The first field is the version of the format. The last field is empty, and
-// parseHop ignores it.
+// such a name. The first field is the version of the format. Earlier versions left the last
+// field, the grace, empty.
 func (h *hop) encode() string {
 	flags := ""
 	for _, flag := range []struct {
@@ -58,7 +60,7 @@
 		"1", peer.FormatNode(h.Target), string(h.Service), string(h.Workspace), string(h.Caller),
 		strconv.Itoa(int(h.Level)), flags,
 		strconv.FormatInt(h.Remaining.Milliseconds(), 10), strconv.FormatInt(h.MaxWait.Milliseconds(), 10), h.Route,
-		strconv.FormatFloat(h.Weight, 'f', 2, 64), "",
+		strconv.FormatFloat(h.Weight, 'f', 2, 64), strconv.FormatInt(h.Grace.Milliseconds(), 10),
 	}, ";")
 }
 
@@ -72,8 +74,8 @@
 	if err != nil {
 		return hop{}, err
 	}
-	numbers := [3]int64{}
-	for i, text := range []string{fields[5], fields[7], fields[8]} {
+	numbers := [4]int64{}
+	for i, text := range []string{fields[5], fields[7], fields[8], cmp.Or(fields[11], "0")} {
 		if numbers[i], err = strconv.ParseInt(text, 10, 64); err != nil {
 			return hop{}, fmt.Errorf("header %s: %q is not a number", hopHeader, text)
 		}
@@ -89,6 +91,7 @@
 		Nested: strings.Contains(fields[6], "i"), NonIdempotent: strings.Contains(fields[6], "o"), Retry: strings.Contains(fields[6], "r"),
 		Remaining: time.Duration(numbers[1]) * time.Millisecond,
 		MaxWait:   time.Duration(numbers[2]) * time.Millisecond,
+		Grace:     min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
 	}, nil
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -22,9 +22,6 @@
 	// request which is not idempotent. An upstream that has dropped an idle connection
 	// resets it when the next request arrives, and such a request cannot be retried.
 	nonIdempotentMaxIdle = 500 * time.Millisecond
-	// upstreamGrace extends the deadline of the exchange with the upstream beyond the
-	// time that the upstream is told, so that a response sent at the deadline arrives.
-	upstreamGrace = 30 * time.Millisecond
 	// maxContenders bounds the number of entry nodes that are assumed to send requests to
 	// one upstream.
 	maxContenders = 32
@@ -190,7 +187,7 @@
 	if req.Workspace != "" {
 		r.Header[d.Workspace] = []string{string(req.Workspace)}
 	}
-	r.Deadline = n.started.Add(deadline + upstreamGrace)
+	r.Deadline = n.started.Add(deadline + req.Grace)
 	if req.NonIdempotent {
 		r.MaxIdle = nonIdempotentMaxIdle
 	}
@@ -200,15 +197,19 @@
 	}
 	response, err := n.upstreamPool.Do(ctx, &r)
 	if err != nil {
-		return nil, n.handleUpstreamError(ctx, req, err)
+		return nil, n.handleUpstreamError(ctx, now, err)
 	}
 	return n.checkResponse(req, sentTo, response)
 }
 
 // handleUpstreamError converts an error of the exchange with the upstream into a
 // refusal that states whether the request may have run. If the connection failed, it
-// also marks the upstream as down.
-func (n *Node) handleUpstreamError(ctx context.Context, req *servedRequest, err error) outcome.Refusal {
+// also marks the upstream as down. sentAt is when the request was sent.
+//
+// An upstream that cannot queue a request may never respond to it, instead of refusing it. It
+// answers a slow request at its deadline at the latest, so a silence beyond the deadline, while
+// others are answered, counts as a refusal for load, except that the request may have run.
+func (n *Node) handleUpstreamError(ctx context.Context, sentAt time.Duration, err error) outcome.Refusal {
 	execution, reason := outcome.MayHaveRun, outcome.UpstreamFailed
 	var failure *exchange.Failure
 	switch {
@@ -226,6 +227,12 @@
 		reason = outcome.CallerGone
 	case failure != nil && failure.Timeout:
 		reason = outcome.DeadlineExceeded
+		n.mu.Lock()
+		if n.tracker.AnsweredSince(sentAt) {
+			reason = outcome.UpstreamSilent
+			n.gate.RecordShed(n.now())
+		}
+		n.mu.Unlock()
 	}
 	n.metrics.upstreamFailures.Inc(1)
 	return n.refusal(execution, reason, err.Error())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -170,6 +170,9 @@
 // RecordResponse records that the upstream responded to a request.
 func (t *Tracker) RecordResponse(now time.Duration) { t.lastResponse, t.down = now, false }
 
+// AnsweredSince reports whether the upstream has responded to a request since the given time.
+func (t *Tracker) AnsweredSince(since time.Duration) bool { return t.lastResponse > since }
+
 // RecordLeaving records that a response said that the upstream leaves. sentTo is what
 // Current returned when the request was sent: the response of an earlier start is ignored.
 // Only a restart ends this state, since announcements may be seconds late.
