Accept in a stop what can end before the exit, and the calls of running requests

Cause: a stopping node refused all requests from 2.8 s on, also the calls of requests that its upstream still ran, which then failed; and before, it took orders whose deadline lies after the exit of the process, which may not be repeated if they are aborted.

Change: from one second after the start of a stop on, requests that are not idempotent are accepted only if their deadline is before the end of the stop; calls of the local upstream are accepted until 200 ms before it.

Measured: TestRequestsDuringAStop; before, the order 1.5 s before the end was taken and the call at 3.3 s refused.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -28,6 +28,13 @@
 	// stopRefusalAfter is the time from the start of a stop after which new requests
 	// are refused, since they would not complete before the process exits.
 	stopRefusalAfter = 2800 * time.Millisecond
+	// stopNoticeTime is the time from the start of a stop in which callers and the platform
+	// learn of it. After it, requests that are not idempotent are accepted only if their
+	// deadline is before the exit.
+	stopNoticeTime = time.Second
+	// nestedStopMargin is the time before the exit in which calls of the local upstream are
+	// refused, too.
+	nestedStopMargin = 200 * time.Millisecond
 )
 
 // attempt is the result of sending a request to one node.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -94,10 +94,6 @@
 	if c.catalog == nil {
 		return n.refusal(outcome.NotRun, outcome.NoConfiguration, ""), false
 	}
-	// Requests that arrive earlier in a stop can still complete.
-	if n.stoppingFor() > stopRefusalAfter {
-		return n.refusal(outcome.NotRun, outcome.Draining, "the node stops"), false
-	}
 	if !strings.HasPrefix(c.r.URL.Path, "/") || c.r.Method == http.MethodConnect {
 		return n.refusal(outcome.NotRun, outcome.BadRequest, "the request target is not a path"), false
 	}
@@ -109,12 +105,30 @@
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
+	if c.tooLateForStop() {
+		return n.refusal(outcome.NotRun, outcome.Draining, "the node stops"), false
+	}
 	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
 		return n.refusal(outcome.NotRun, outcome.TooLarge, strconv.FormatInt(c.r.ContentLength, 10)), false
 	}
 	return c.admit()
 }
 
+// tooLateForStop reports whether the exit of a stopping node could abort the request. The
+// calls of requests that the local upstream still runs are accepted almost until the exit.
+func (c *call) tooLateForStop() bool {
+	n := c.node
+	elapsed := n.stoppingFor()
+	if elapsed == 0 {
+		return false
+	}
+	ends := time.Duration(n.stopEnds.Load())
+	if c.nested {
+		return ends > 0 && c.arrived > ends-nestedStopMargin
+	}
+	return elapsed > stopRefusalAfter || elapsed > stopNoticeTime && !c.route.Idempotent && ends > 0 && c.deadline > ends
+}
+
 // identify looks up the workspace that holds the caller's key. Keys are not forwarded to
 // upstreams, so an upstream makes its calls without one, on routes that are AuthExempt.
 // Every request without a key on such a route therefore counts as a call made by the local
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -133,6 +133,9 @@
 // flight. Requests that are still in flight when ctx ends are aborted.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopBegan.Store(int64(n.now()))
+	if end, ok := ctx.Deadline(); ok {
+		n.stopEnds.Store(int64(end.Sub(n.started)))
+	}
 	n.stopping.Store(true)
 	n.cfg.Log.Write(eventlog.Lifecycle, "stopping", "open", n.openRequests.Load())
 	sleepContext(ctx, announceStopDelay)
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -434,6 +434,34 @@
 	}
 }
 
+// An order that may not be repeated must not be taken if the process could exit before its
+// deadline, once callers have had time to learn of the stop. What can end in time must still
+// be served, and so must the calls of requests that the local upstream runs.
+func TestRequestsDuringAStop(t *testing.T) {
+	_, a, _, _ := startSmallMesh(t)
+	for _, test := range []struct {
+		elapsed, left time.Duration // since the start of the stop and until its end
+		method, path  string
+		key           string
+		want          int
+	}{
+		{stopNoticeTime / 2, 3 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
+		{stopNoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "POST", "/order/1", "k1", http.StatusServiceUnavailable},
+		{stopNoticeTime + 500*time.Millisecond, 6 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
+		{stopNoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/read/1", "k1", http.StatusOK},
+		{stopRefusalAfter + 500*time.Millisecond, 6 * time.Second, "GET", "/read/1", "k1", http.StatusServiceUnavailable},
+		{stopRefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/feed/1", "", http.StatusOK},
+		{stopRefusalAfter + 500*time.Millisecond, nestedStopMargin / 2, "GET", "/feed/1", "", http.StatusServiceUnavailable},
+	} {
+		a.node.stopBegan.Store(int64(a.node.now() - test.elapsed))
+		a.node.stopEnds.Store(int64(a.node.now() + test.left))
+		a.node.stopping.Store(true)
+		if got := a.call(fmt.Sprint("stop-", test.elapsed, test.left, test.path), test.method, test.path, test.key, ""); got.status != test.want || !got.closes {
+			t.Errorf("%s %s, %v after the start and %v before the end of the stop: status %d, closes the connection: %v; want %d and true", test.method, test.path, test.elapsed, test.left, got.status, got.closes, test.want)
+		}
+	}
+}
+
 // When the caller disconnects, the connection to the upstream must be closed, so that
 // the upstream stops working on the request.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -65,6 +65,7 @@
 	current   atomic.Pointer[catalog.Catalog] // the declaration in force; nil before the first
 	stopping  atomic.Bool
 	stopBegan atomic.Int64 // value of now() at the start of the stop, in ns
+	stopEnds  atomic.Int64 // value of now() by which the requests in flight must have ended, in ns; zero: not known
 
 	readBegan     atomic.Int64 // value of now() at the start of the last read of the declaration, in ns
 	storeAnswered atomic.Int64 // value of now() at the last response to such a read, in ns; zero before the first
