Ignore late announcements of a replaced upstream

Cause: once another instance had answered at the address, the next announcement was accepted from any instance, so one of the replaced instance that was still in transit brought it back as ready, and requests were sent for it. And a response to a request for an earlier start made the node forget the successor that had announced itself meanwhile. Heartbeats without slots counted as changes and wrote a line each.

Change: announcements of the replaced start or an earlier one are stale, if start times are known; a replacement counts only for the start that the request was sent to; the slots that an announcement leaves out are filled in before it is compared.

--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -178,7 +178,11 @@
 		// After the drain time, no request is accepted.
 		{func() { a.announce(upstream.Draining); time.Sleep(bounds.Drain) }, outcome.Draining},
 		// If another instance serves at the address, the known one is absent.
-		{func() { a.node.mu.Lock(); a.node.tracker.RecordReplacement(); a.node.mu.Unlock() }, outcome.NoUpstream},
+		{func() {
+			a.node.mu.Lock()
+			a.node.tracker.RecordReplacement(a.node.tracker.Current())
+			a.node.mu.Unlock()
+		}, outcome.NoUpstream},
 	} {
 		test.change()
 		a.node.mu.Lock()
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -268,7 +268,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if misdirected {
-		n.tracker.RecordReplacement()
+		n.tracker.RecordReplacement(sentTo)
 		n.publishPhase(n.now())
 		return nil, n.refusal(outcome.NotRun, outcome.Draining, "another upstream answers at the address")
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -72,16 +72,17 @@
 // Tracker tracks the state of one upstream. All times are durations since one arbitrary
 // start. A Tracker is not safe for concurrent use.
 type Tracker struct {
-	cfg          Config
-	last         Announcement
-	known        bool          // an announcement or probe was accepted since the last replacement
-	lastContact  time.Duration // time of the last accepted announcement or probe
-	lastResponse time.Duration // time of the last response to a request
-	lastRefused  time.Duration // time of the last refused connection
-	down         bool          // it refused a connection and has neither responded nor announced itself since
-	leavingSince time.Duration // time of the first announcement that it is draining or has deregistered
-	announced    bool          // an announcement was accepted since the last replacement
-	saidLeaving  bool          // a response of the known start said that it leaves
+	cfg           Config
+	last          Announcement
+	known         bool          // an announcement or probe was accepted since the last replacement
+	lastContact   time.Duration // time of the last accepted announcement or probe
+	lastResponse  time.Duration // time of the last response to a request
+	lastRefused   time.Duration // time of the last refused connection
+	down          bool          // it refused a connection and has neither responded nor announced itself since
+	leavingSince  time.Duration // time of the first announcement that it is draining or has deregistered
+	announced     bool          // an announcement was accepted since the last replacement
+	saidLeaving   bool          // a response of the known start said that it leaves
+	replacedStart int64         // start time of the last upstream that was replaced; zero: none, or not known
 }
 
 // New returns a tracker of an upstream that has not been seen yet.
@@ -109,6 +110,9 @@
 		return Result{Stale: true}
 	}
 	result := Result{Restarted: !t.sameStart(a)}
+	if a.Slots == 0 && !result.Restarted {
+		a.Slots = t.last.Slots
+	}
 	result.Changed = result.Restarted || t.last.State != a.State || t.last.Slots != a.Slots
 	if result.Restarted {
 		t.saidLeaving = false
@@ -116,9 +120,6 @@
 	if a.State != Ready && !t.saidLeaving && (result.Restarted || t.last.State == Ready) {
 		t.leavingSince = now
 	}
-	if a.Slots == 0 && !result.Restarted {
-		a.Slots = t.last.Slots
-	}
 	t.last, t.known, t.announced, t.lastContact, t.down = a, true, true, now, false
 	return result
 }
@@ -137,6 +138,9 @@
 // again only by a restart. A deregistration has no sequence number, so its field is
 // ignored.
 func (t *Tracker) stale(a Announcement) bool {
+	if a.StartTime != 0 && a.StartTime <= t.replacedStart {
+		return true
+	}
 	if !t.known || !t.announced {
 		return false
 	}
@@ -192,10 +196,16 @@
 // RecordRefusedConnection records that the upstream did not accept a connection.
 func (t *Tracker) RecordRefusedConnection(now time.Duration) { t.lastRefused, t.down = now, true }
 
-// RecordReplacement records that another instance serves at the address. No request is
-// sent to it until the next announcement or probe. The next announcement is accepted
-// from any instance.
-func (t *Tracker) RecordReplacement() { t.known, t.announced, t.saidLeaving = false, false, false }
+// RecordReplacement records that another instance than sentTo, which Current returned when a
+// request was sent, serves at the address. No request is sent to it until the next
+// announcement of a later start, or probe.
+func (t *Tracker) RecordReplacement(sentTo Announcement) {
+	if !t.sameStart(sentTo) {
+		return
+	}
+	t.replacedStart = t.last.StartTime
+	t.known, t.announced, t.saidLeaving = false, false, false
+}
 
 // Phase returns the phase of the upstream to be published to other nodes.
 func (t *Tracker) Phase(now time.Duration) roster.Phase {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -157,3 +157,41 @@
 		t.Errorf("phase is %d after the restart and a response of the earlier start, want ready", got)
 	}
 }
+
+// An upstream that was replaced at its address may have announcements in transit. They must
+// not bring it back: requests would be sent for an instance that no longer runs.
+func TestLateAnnouncementOfAReplacedUpstream(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleAnnouncement(0, readyAnnouncement("a", 100, 5))
+	tracker.RecordReplacement(tracker.Current())
+	if result := tracker.HandleAnnouncement(time.Second, readyAnnouncement("a", 100, 6)); !result.Stale || tracker.Accepts(time.Second) {
+		t.Errorf("result of a late announcement of the replaced upstream is %+v, accepts requests: %v; want stale and none", result, tracker.Accepts(time.Second))
+	}
+	if result := tracker.HandleAnnouncement(time.Second, readyAnnouncement("a", 200, 1)); !result.Restarted || !tracker.Accepts(time.Second) {
+		t.Errorf("result of the announcement of a later start is %+v, accepts requests: %v; want a restart and requests", result, tracker.Accepts(time.Second))
+	}
+}
+
+// The response to a request for the earlier start may arrive after the announcement of its
+// successor. The successor must stay in use.
+func TestReplacementOfAnEarlierStart(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleAnnouncement(0, readyAnnouncement("a", 100, 5))
+	sentTo := tracker.Current()
+	tracker.HandleAnnouncement(time.Second, readyAnnouncement("b", 200, 1))
+	tracker.RecordReplacement(sentTo)
+	if !tracker.Accepts(time.Second) {
+		t.Error("no request is accepted for the new start after a response about the earlier one")
+	}
+}
+
+// Heartbeats that do not state the slots must not count as changes: each would write a line.
+func TestHeartbeatWithoutSlotsChangesNothing(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleAnnouncement(0, readyAnnouncement("a", 100, 1))
+	a := readyAnnouncement("a", 100, 2)
+	a.Slots = 0
+	if result := tracker.HandleAnnouncement(time.Second, a); result.Changed {
+		t.Errorf("result is %+v, want no change", result)
+	}
+}
