Drop cancelled requests from the queue at once, and forget calls after an idle hour

Cause: a cancelled request stayed in its queue until it came to its head, which never happened while more important levels kept the slots in use (1,000 entries for 10 queued requests). A refusal set the limit to two at an upstream of one slot. The counts of calls decayed by one step only after a pause of more than a minute.

Change: Cancel removes the request; the limit stays within the slots; up to 120 steps are made up for.

Measured: TestCancelledRequestsAreNotKept, TestLimitAfterAShedStaysWithinTheSlots and TestCallGraphForgetsAfterAnIdleHour failed before.

--- a/internal/pressure/callgraph.go
+++ b/internal/pressure/callgraph.go
@@ -7,6 +7,7 @@
 	// cover about the last ten seconds.
 	decayInterval = time.Second
 	decayFactor   = 0.9
+	maxDecaySteps = 120 // after which nothing is left of any count
 	// priorBusySeconds and priorCalls are added to the counts of each route, so that the
 	// estimate for a route without any count is one call per second spent at the upstream.
 	priorBusySeconds = 0.2
@@ -56,6 +57,7 @@
 		}
 		g.countedUntil = now
 	}
+	g.decayedUntil = max(g.decayedUntil, now-maxDecaySteps*decayInterval)
 	for ; now-g.decayedUntil >= decayInterval; g.decayedUntil += decayInterval {
 		for route, r := range g.routes {
 			r.decay()
@@ -63,9 +65,6 @@
 				delete(g.routes, route)
 			}
 		}
-		if now-g.decayedUntil > time.Minute {
-			g.decayedUntil = now // skips the remaining steps after a long time without events
-		}
 	}
 }
 
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -397,3 +397,19 @@
 		t.Errorf("a cut that no response confirmed for 20 s is %v, want it open", got)
 	}
 }
+
+// After an hour without requests, what was known of the calls of a route must be forgotten:
+// its requests may be refused because of a cut that does not concern them any more.
+func TestCallGraphForgetsAfterAnIdleHour(t *testing.T) {
+	g := NewCallGraph()
+	target := Target{Service: "stock", Route: "feed"}
+	for range 1000 {
+		g.RequestStarted(0, "read")
+		g.RecordCall(0, "read", target)
+		g.RequestEnded(0, "read")
+	}
+	g.RequestStarted(time.Hour, "read")
+	if got := g.CallsPerRequest("read", target); got > minRelevantCalls {
+		t.Errorf("%.2f calls per request are assumed after an idle hour, want at most %v", got, minRelevantCalls)
+	}
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -16,6 +16,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"cardamomhatch/internal/outcome"
@@ -72,8 +73,8 @@
 	limit   float64 // requests that may run at a time
 	running int     // requests at the upstream
 	queues  [numQueues][]*queuedRequest
-	queued  int                       // requests in the queue, without cancelled ones
-	byID    map[uint64]*queuedRequest // queued requests, without cancelled ones
+	queued  int                       // requests in the queues
+	byID    map[uint64]*queuedRequest // queued requests
 	latency float64                   // moving average of the time from the start to the end of a request, ns
 	grownAt time.Duration             // time up to which growth has been added to limit
 	rate    rate                      // limit on the requests per second
@@ -84,10 +85,7 @@
 	askedAt      time.Duration
 }
 
-type queuedRequest struct {
-	Request
-	cancelled bool
-}
+type queuedRequest struct{ Request }
 
 // New returns a gate for an upstream whose slots are not known yet.
 func New() *Gate {
@@ -191,11 +189,7 @@
 	}
 	before := 0
 	for i := range queueIndex(r) + 1 {
-		for _, item := range g.queues[i] {
-			if !item.cancelled {
-				before++
-			}
-		}
+		before += len(g.queues[i])
 	}
 	return now+g.rate.wait(now, before) > r.LatestStart
 }
@@ -287,19 +281,22 @@
 	if g.slots > 0 && g.running <= g.slots {
 		return
 	}
-	g.limit = max(minLimit, min(g.limit, decreaseFactor*float64(g.running)))
+	g.limit = min(max(minLimit, min(g.limit, decreaseFactor*float64(g.running))), g.maxLimit())
 	g.grownAt = now
 }
 
 // Cancel removes a request from the queue. It returns false if the request is not
-// queued. The entry in the queue is only marked; head drops it later.
+// queued.
 func (g *Gate) Cancel(id uint64) bool {
 	item := g.byID[id]
 	if item == nil {
 		return false
 	}
 	delete(g.byID, id)
-	item.cancelled = true
+	queue := &g.queues[queueIndex(item.Request)]
+	if i := slices.Index(*queue, item); i >= 0 {
+		*queue = slices.Delete(*queue, i, i+1)
+	}
 	g.queued--
 	return true
 }
@@ -327,11 +324,11 @@
 		return Decision{}, false
 	}
 	for i := range g.queues {
-		item := g.head(i)
-		if item == nil {
+		if len(g.queues[i]) == 0 {
 			continue
 		}
-		g.pop(i)
+		item := g.queues[i][0]
+		g.Cancel(item.ID)
 		if g.tooLate(now, item.Request) {
 			return Decision{item.ID, Refuse, outcome.DeadlineExceeded}, true
 		}
@@ -345,7 +342,7 @@
 func (g *Gate) refuseOverdue(now time.Duration) (Decision, bool) {
 	for i := range g.queues {
 		for _, item := range g.queues[i] {
-			if !item.cancelled && item.LatestStart <= now {
+			if item.LatestStart <= now {
 				g.Cancel(item.ID)
 				return Decision{item.ID, Refuse, g.TimeoutReason()}, true
 			}
@@ -353,23 +350,3 @@
 	}
 	return Decision{}, false
 }
-
-// head returns the first request of queue i that is not cancelled, or nil. It drops the
-// cancelled requests before it.
-func (g *Gate) head(i int) *queuedRequest {
-	for len(g.queues[i]) > 0 && g.queues[i][0].cancelled {
-		g.queues[i][0] = nil
-		g.queues[i] = g.queues[i][1:]
-	}
-	if len(g.queues[i]) == 0 {
-		g.queues[i] = nil
-		return nil
-	}
-	return g.queues[i][0]
-}
-
-// pop removes the first request of queue i, which must not be a cancelled one.
-func (g *Gate) pop(i int) {
-	g.Cancel(g.queues[i][0].ID)
-	g.queues[i] = g.queues[i][1:]
-}
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -113,3 +113,34 @@
 		t.Fatalf("next decision is %+v, want request 2", decision)
 	}
 }
+
+// While more important requests keep the slots in use, requests of a less important level
+// that give up must not stay in memory.
+func TestCancelledRequestsAreNotKept(t *testing.T) {
+	g := newFullGate(t, 10)
+	for id := uint64(1); id <= 1000; id++ {
+		g.Arrive(0, Request{ID: id, Level: 6, LatestStart: second, Deadline: 10 * second})
+		if id > 10 {
+			g.Cancel(id - 10)
+		}
+	}
+	kept := 0
+	for i := range g.queues {
+		kept += len(g.queues[i])
+	}
+	if kept > 10 {
+		t.Errorf("%d entries are kept for 10 queued requests", kept)
+	}
+}
+
+// A refusal by the upstream must not raise the limit above the slots that it reports.
+func TestLimitAfterAShedStaysWithinTheSlots(t *testing.T) {
+	g := New()
+	g.SetSlots(1)
+	g.Arrive(0, Request{ID: 1, LatestStart: second, Deadline: second})
+	g.running = 2 // one more than the slots, for example after a restart of the upstream
+	g.RecordShed(0)
+	if g.Limit() > 1 {
+		t.Errorf("the limit is %d after a refusal, want the one slot", g.Limit())
+	}
+}
