Refuse an empty seed, and count the lines left out when the log closes

Change: the settings name the problem; Close queues a line with the number for each kind.

Measured: TestParse's new case and TestCloseCountsTheLinesLeftOut failed before.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -149,12 +149,27 @@
 	}
 }
 
+// writeDropped queues a line for each kind of which lines were dropped since the last one that
+// was queued. l.mu must be held.
+func (l *Log) writeDropped() {
+	for k := range l.buckets {
+		if l.buckets[k].dropped == 0 {
+			continue
+		}
+		select {
+		case l.lines <- line{Kind(k), "lines left out", []any{"left_out", l.buckets[k].dropped}, l.now()}:
+		default: // the queue is full because nobody reads
+		}
+	}
+}
+
 // Close stops accepting lines and waits until the queued lines are written, but no
 // longer than timeout.
 func (l *Log) Close(timeout time.Duration) {
 	l.mu.Lock()
 	if !l.closed {
 		l.closed = true
+		l.writeDropped()
 		close(l.lines)
 	}
 	l.mu.Unlock()
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -100,3 +100,32 @@
 		}
 	}
 }
+
+// The lines that were left out last must be counted in the log, too, when it is closed: no
+// later line of their kind carries the number.
+func TestCloseCountsTheLinesLeftOut(t *testing.T) {
+	var out safeBuffer
+	l := New(&out)
+	const written = 100
+	for range written {
+		l.Write(Lifecycle, "event")
+	}
+	l.Close(time.Second)
+	total := 0
+	for line := range strings.Lines(out.b.String()) {
+		var entry struct {
+			Message string `json:"msg"`
+			Dropped int    `json:"left_out"`
+		}
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatalf("%q is not JSON: %v", line, err)
+		}
+		total += entry.Dropped
+		if entry.Message == "event" {
+			total++
+		}
+	}
+	if total != written {
+		t.Errorf("%d of %d lines are written or counted as left out", total, written)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,10 @@
 	})
 	p.readSection("peers", func(sec *inifile.Section) {
 		for _, seed := range strings.Split(sec.Text("seeds"), ",") {
+			if strings.TrimSpace(seed) == "" {
+				sec.AddProblem("seeds", "an item is empty")
+				continue
+			}
 			s.Seeds = append(s.Seeds, p.parseAddress(sec, "seeds", strings.TrimSpace(seed), p.insecureLoopback))
 		}
 	})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,7 @@
 		{"http://127.0.0.1", "http://10.0.0.1", "n.ini: [log] address: 10.0.0.1:9000 is not a loopback address"},
 		{"http://", "ftp://", "n.ini: [log] address: \"ftp://127.0.0.1:9000\" is not an http or https URL"},
 		{"127.0.0.1:8003", "10.0.0.1:8003", "n.ini: [peers] seeds: 10.0.0.1:8003 is not a loopback address"},
+		{"127.0.0.1:7003, 127", "127.0.0.1:7003, , 127", "n.ini: [peers] seeds: an item is empty"},
 		{"insecure_loopback = true", "", "n.ini: [log] address: plain http needs insecure_loopback"},
 		{"insecure_loopback = true", "", "n.ini: [tls]: section is missing"},
 		{"= abab", "= ab", "n.ini: [operator] token_sha256: value is not 64 hexadecimal digits"},
