Find the parent of a call also if the upstream read the request late

Cause: the calls of an upstream are attributed to requests that expire no earlier. An upstream on a busy host reads a request some time after it was sent and counts the remaining time from then on, so its calls seem to expire after every request; they got no parent, and with it the most important level. This is what TestCallInheritsLevelOfItsRequest showed under load (the call for a request of level 2 was logged with rank 0).

Change: if no request expires late enough, those that expire up to 250 ms earlier are drawn from.

--- a/internal/pressure/inflight.go
+++ b/internal/pressure/inflight.go
@@ -10,6 +10,10 @@
 	// request count as expiring together. Both remaining times are transmitted in whole
 	// milliseconds, and each is delayed slightly on its way.
 	expiryTolerance = 4 * time.Millisecond
+	// maxReadDelay is the longest time after which an upstream is assumed to read a request.
+	// It counts the remaining time from then on, so that its calls seem to expire later than
+	// the request.
+	maxReadDelay = 250 * time.Millisecond
 	// offsetGain is the weight of one call and its parent in the moving average
 	// InFlight.expiryOffset.
 	offsetGain = 0.02
@@ -129,18 +133,19 @@
 }
 
 // sampleByRoute draws one of the requests that expire no earlier than the call, in
-// proportion to the call rates of their routes. It returns nil if there is none.
+// proportion to the call rates of their routes. If there is none, requests that expire up to
+// maxReadDelay earlier are drawn from. It returns nil if there is none of them either.
 func (f *InFlight) sampleByRoute(now time.Duration, t Target, expires time.Duration, draw float64) *Request {
-	var candidates []Candidates
-	for i := range f.requests {
-		if q := &f.requests[i]; q.Expires+expiryTolerance >= expires {
-			candidates = addCandidate(candidates, q.Route)
-		}
+	earliest := expires - expiryTolerance
+	candidates := f.candidates(earliest)
+	if len(candidates) == 0 {
+		earliest = expires - maxReadDelay
+		candidates = f.candidates(earliest)
 	}
 	route, index := f.graph.AttributeCall(now, t, candidates, draw)
 	for i := range f.requests {
 		q := &f.requests[i].Request
-		if q.Route != route || q.Expires+expiryTolerance < expires {
+		if q.Route != route || q.Expires < earliest {
 			continue
 		}
 		if index--; index < 0 {
@@ -150,6 +155,17 @@
 	return nil
 }
 
+// candidates counts the requests by route that expire at the given time or later.
+func (f *InFlight) candidates(earliest time.Duration) []Candidates {
+	var out []Candidates
+	for i := range f.requests {
+		if q := &f.requests[i]; q.Expires >= earliest {
+			out = addCandidate(out, q.Route)
+		}
+	}
+	return out
+}
+
 // addCandidate counts one more request of the route.
 func addCandidate(c []Candidates, route string) []Candidates {
 	for i := range c {
--- a/internal/pressure/inflight_test.go
+++ b/internal/pressure/inflight_test.go
@@ -102,3 +102,15 @@
 		t.Errorf("a call that expires with the request of level 0 is attributed to %v, want that request", q)
 	}
 }
+
+// An upstream on a busy host may read a request long after it was sent, and counts the
+// remaining time that it was told from then on. Its calls then seem to expire after all
+// requests; they must still get the level of one of them, not the most important level.
+func TestCallThatSeemsToExpireAfterItsRequest(t *testing.T) {
+	f := NewInFlight(NewCallGraph())
+	f.RequestStarted(0, 1, Request{Route: "read", Level: 6, Expires: 2 * time.Second})
+	now := 500 * time.Millisecond
+	if q := f.Parent(now, Target{Service: "stock", Route: "feed"}, 1700*time.Millisecond, 0.5); q == nil || q.Level != 6 {
+		t.Errorf("parent of the call is %+v, want the only running request", q)
+	}
+}
