--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -70,7 +70,7 @@
 
 // SetFailing replaces the fractions of requests that the upstreams of a service fail, as the
 // nodes beside them report. They see the requests of all nodes. What most of the upstreams
-// have in common has its cause elsewhere and does not count: the lower quartile is left out.
+// have in common has its cause elsewhere and does not count.
 func (t *Table) SetFailing(name mesh.Service, failing map[mesh.NodeID]float64) {
 	s := t.service(name)
 	shares := make([]float64, 0, len(s.candidates))
@@ -80,7 +80,7 @@
 	slices.Sort(shares)
 	common := failingTolerance
 	if len(shares) > 0 {
-		common += shares[(len(shares)-1)/4]
+		common += shares[(len(shares)-1)/2]
 	}
 	for _, n := range s.candidates {
 		n.failing = max(failing[n.member.Node]-common, 0)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -17,7 +17,7 @@
 // request counts like one that takes its target latency.
 const (
 	failingCost = 1.0
-	// failingTolerance is the difference to the lower quartile of the service up to which a reported
+	// failingTolerance is the difference to the median of the service up to which a reported
 	// fraction of failures is taken for chance.
 	failingTolerance    = 0.15
 	remoteCost          = 0.03  // added for a node in another data centre
