--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -85,7 +85,6 @@
 	Phase    Phase
 	Instance string                     // usually identifies one start of the upstream
 	Slots    int                        // requests that the upstream can run at the same time
-	Failing  float64                    // fraction of the latest requests that the upstream failed
 	Limited  bool                       // the upstream names a limit on its requests per second
 	Stopping bool                       // the node accepts no new work and shuts down soon
 	Left     bool                       // the node has shut down cleanly
@@ -228,7 +227,7 @@
 		r.partnersKnown = false
 	}
 	routingChanged := !old.confirmed || old.silent || old.record.AcceptsWork() != rec.AcceptsWork() || old.record.Member != rec.Member ||
-		old.record.Instance != rec.Instance || old.record.Slots != rec.Slots || old.record.Failing != rec.Failing
+		old.record.Instance != rec.Instance || old.record.Slots != rec.Slots
 	r.changed = r.changed || routingChanged
 	return routingChanged
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -3,13 +3,11 @@
 import (
 	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
-	"cardamomhatch/internal/upstream"
 )
 
 const (
@@ -431,108 +429,3 @@
 		}
 	}
 }
-
-// failingFleet simulates many entry nodes that send requests to the upstreams of one service.
-// Each upstream fails the given fraction of its requests, after the deadline; the nodes beside
-// the upstreams report what their trackers say to all entry nodes.
-func failingFleet(t *testing.T, entries, upstreams int, reports bool, failing func(now time.Duration, node int) float64) (requests []int, failures int) {
-	t.Helper()
-	const (
-		perSecond = 400
-		deadline  = 1500 * ms
-		length    = 12 * time.Second
-	)
-	type result struct {
-		at     time.Duration
-		table  int
-		node   int
-		sample Sample
-	}
-	members := make([]mesh.Member, upstreams)
-	index := map[mesh.NodeID]int{}
-	for i := range members {
-		members[i] = mesh.Member{Node: mesh.NodeID{Host: mesh.Host(fmt.Sprint("h", i))}, DataCentre: "dc", Service: orders}
-		index[members[i].Node] = i
-	}
-	tables := make([]*Table, entries)
-	for i := range tables {
-		tables[i] = New(Config{Seed: uint64(i), DataCentre: "dc", SubsetSize: upstreams})
-		tables[i].SetMembers(0, orders, members)
-	}
-	random := rand.New(rand.NewPCG(1, 1))
-	var pending []result
-	trackers := make([]*upstream.Tracker, upstreams)
-	for i := range trackers {
-		trackers[i] = upstream.New(upstream.Config{})
-	}
-	inFlight := make([]int, upstreams)
-	requests = make([]int, upstreams)
-	for now := time.Duration(0); now < length; now += time.Second / perSecond {
-		kept := pending[:0]
-		for _, e := range pending {
-			if e.at > now {
-				kept = append(kept, e)
-				continue
-			}
-			inFlight[e.node]--
-			e.sample.Report = Report{InFlight: inFlight[e.node], Limit: 50}
-			tables[e.table].RecordEnd(now, members[e.node].Node, e.sample)
-			trackers[e.node].RecordResult(now, e.sample.Result == Failed)
-		}
-		pending = kept
-		if reports && now%(300*ms) == 0 {
-			shares := map[mesh.NodeID]float64{}
-			for i, tracker := range trackers {
-				if share := tracker.FailureShare(now); share >= 0.2 {
-					shares[members[i].Node] = share
-				}
-			}
-			for _, table := range tables {
-				table.SetFailing(orders, shares)
-			}
-		}
-		i := random.IntN(entries)
-		m, _ := tables[i].PickForLatency(now, Request{Service: orders, Route: "r", TargetLatency: 1500 * ms})
-		tables[i].RecordSent(now, m.Node)
-		e := result{now + time.Duration(200+random.IntN(200))*ms, i, index[m.Node], Sample{Route: "r"}}
-		e.sample.Latency = e.at - now
-		if random.Float64() < failing(now, e.node) {
-			e.at, e.sample = now+deadline, Sample{Route: "r", Latency: deadline, Result: Failed}
-			failures++
-		}
-		pending = append(pending, e)
-		inFlight[e.node]++
-		requests[e.node]++
-	}
-	return requests, failures
-}
-
-// Four of 43 upstreams fail all requests, each after its deadline. With 95 entry nodes, each
-// pair of nodes meets seldom, so every entry node would learn of every one of them by failures
-// of its own.
-func TestFailingUpstreamsAmongManyEntryNodes(t *testing.T) {
-	fails := func(_ time.Duration, node int) float64 {
-		if node < 4 {
-			return 1
-		}
-		return 0
-	}
-	_, alone := failingFleet(t, 95, 43, false, fails)
-	_, reported := failingFleet(t, 95, 43, true, fails)
-	t.Logf("failed requests of 4800: %d without reports, %d with them", alone, reported)
-	if float64(reported) > 0.5*float64(alone) {
-		t.Errorf("%d of 4800 requests fail with reports and %d without, want at most half", reported, alone)
-	}
-}
-
-// If all upstreams fail requests because a service that they call is short, chance makes some
-// fail more than others. The requests must stay spread over all of them.
-func TestFailuresThatAllUpstreamsHaveInCommon(t *testing.T) {
-	requests, _ := failingFleet(t, 95, 12, true, func(time.Duration, int) float64 { return 0.4 })
-	mean := 4800.0 / 12
-	for i, n := range requests {
-		if float64(n) > 1.5*mean || float64(n) < 0.5*mean {
-			t.Errorf("upstream %d gets %d requests, the mean is %.0f", i, n, mean)
-		}
-	}
-}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -51,7 +51,6 @@
 	pausedUntil      time.Duration // end of the pause that a Limited attempt asked for
 	lastReport       Report
 	inFlightAtReport int     // attempts in flight when the report arrived
-	failing          float64 // reported fraction of requests that fail, beyond what is usual in the service
 	relativeLatency  float64 // latency of responses, relative to the mean of their routes; zero: not known
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -68,25 +68,6 @@
 	}
 }
 
-// SetFailing replaces the fractions of requests that the upstreams of a service fail, as the
-// nodes beside them report. They see the requests of all nodes. What most of the upstreams
-// have in common has its cause elsewhere and does not count.
-func (t *Table) SetFailing(name mesh.Service, failing map[mesh.NodeID]float64) {
-	s := t.service(name)
-	shares := make([]float64, 0, len(s.candidates))
-	for _, n := range s.candidates {
-		shares = append(shares, failing[n.member.Node])
-	}
-	slices.Sort(shares)
-	common := failingTolerance
-	if len(shares) > 0 {
-		common += shares[(len(shares)-1)/2]
-	}
-	for _, n := range s.candidates {
-		n.failing = max(failing[n.member.Node]-common, 0)
-	}
-}
-
 // service returns the state of a service, which it creates if needed.
 func (t *Table) service(name mesh.Service) *service {
 	s := t.services[name]
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -13,13 +13,8 @@
 // while its expected latency there is well below the target, and to the fastest upstream
 // anywhere as the expected latency approaches the target. The cost of a node is the square
 // of the ratio of the expected latency to the target, plus the cost of traffic to another
-// data centre, plus the reported probability that the upstream fails the request: a failed
-// request counts like one that takes its target latency.
+// data centre.
 const (
-	failingCost = 1.0
-	// failingTolerance is the difference to the median of the service up to which a reported
-	// fraction of failures is taken for chance.
-	failingTolerance    = 0.15
 	remoteCost          = 0.03  // added for a node in another data centre
 	remoteCostPerKB     = 0.004 // added to remoteCost for each kilobyte of request and response
 	relativeLatencyGain = 0.05  // weight of one response in node.relativeLatency
@@ -68,7 +63,6 @@
 		}
 		expectedRatio := latencyRatio * c.latencyFactor(now)
 		cost := expectedRatio * expectedRatio
-		cost += failingCost * c.failing
 		if c.remote {
 			cost += addedCost
 		}
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -73,29 +72,6 @@
 	n.setMembers(now)
 }
 
-const (
-	// The fraction of failed requests is published if it differs by failingStep from the last
-	// published one, or has fallen below failingStep, and at most every failingInterval.
-	failingStep     = 0.2
-	failingInterval = 300 * time.Millisecond
-)
-
-// publishFailing publishes the fraction of requests that the local upstream fails, if it has
-// changed much. n.mu must be held.
-func (n *Node) publishFailing(now time.Duration) {
-	share, published := n.tracker.FailureShare(now), n.roster.Self().Failing
-	if share < failingStep {
-		share = 0
-	}
-	if share == published || share > 0 && math.Abs(share-published) < failingStep || now-n.failingSentAt < failingInterval {
-		return
-	}
-	n.failingSentAt = now
-	n.roster.Update(true, func(r *roster.Record) { r.Failing = share })
-	n.cfg.Log.Write(eventlog.Observation, "upstream failing", "share", share, "before", published, "instance", n.tracker.Current().Instance)
-	n.setMembers(now)
-}
-
 // probe sends health probes to learn the instance of an upstream that has not
 // announced itself to this process, for example after a restart of the node alone.
 func (n *Node) probe() {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -82,7 +82,6 @@
 	budgets        map[mesh.Service]*retry.Budget // for retries
 	limiter        *ratelimit.Limiter
 	tokenWaiters   map[uint64]chan ratelimit.Result // requests that wait for borrowed tokens, by ID
-	failingSentAt  time.Duration                    // when Failing of the own record was last published
 	fleetUpdatedAt time.Duration                    // when the limiter last received the list of nodes
 	storeListed    bool                             // the nodes have been listed from the store
 	recentDemands  []map[mesh.Workspace]float64     // published demand of this node at the last demandSpreadRounds updates of the limiter, oldest first
@@ -225,7 +224,6 @@
 			n.mu.Lock()
 			now := n.now()
 			n.publishPhase(now)
-			n.publishFailing(now)
 			n.refreshLimiter(now)
 			n.updateSpill(now)
 			n.updateCut(now)
@@ -327,13 +325,10 @@
 	for _, s := range c.Services() {
 		records := n.roster.Members(now, s)
 		members := make([]mesh.Member, len(records))
-		failing := make(map[mesh.NodeID]float64, len(records))
 		for i := range records {
 			members[i] = records[i].Member
-			failing[members[i].Node] = records[i].Failing
 		}
 		n.table.SetMembers(now, s, members)
-		n.table.SetFailing(s, failing)
 	}
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -235,11 +235,6 @@
 		n.mu.Unlock()
 	}
 	n.metrics.upstreamFailures.Inc(1)
-	if reason != outcome.CallerGone {
-		n.mu.Lock()
-		n.tracker.RecordResult(n.now(), true)
-		n.mu.Unlock()
-	}
 	return n.refusal(execution, reason, err.Error())
 }
 
@@ -265,7 +260,6 @@
 	if !misdirected && response.Header.Get(d.NotRun) == "" {
 		n.mu.Lock()
 		n.tracker.RecordResponse(n.now())
-		n.tracker.RecordResult(n.now(), status >= http.StatusInternalServerError)
 		n.mu.Unlock()
 		return response, outcome.Refusal{}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -82,7 +82,6 @@
 	leavingSince  time.Duration // time of the first announcement that it is draining or has deregistered
 	announced     bool          // an announcement was accepted since the last replacement
 	saidLeaving   bool          // a response of the known start said that it leaves
-	results       failureShare  // of the requests at the known start
 	replacedStart int64         // start time of the last upstream that was replaced; zero: none, or not known
 }
 
@@ -117,7 +116,6 @@
 	result.Changed = result.Restarted || t.last.State != a.State || t.last.Slots != a.Slots
 	if result.Restarted {
 		t.saidLeaving = false
-		t.results = failureShare{}
 	}
 	if a.State != Ready && !t.saidLeaving && (result.Restarted || t.last.State == Ready) {
 		t.leavingSince = now
@@ -176,13 +174,6 @@
 // RecordResponse records that the upstream responded to a request.
 func (t *Tracker) RecordResponse(now time.Duration) { t.lastResponse, t.down = now, false }
 
-// RecordResult records how a request ended: with a success or another response of the upstream
-// that is not its own failure, or failed.
-func (t *Tracker) RecordResult(now time.Duration, failed bool) { t.results.add(now, failed) }
-
-// FailureShare returns the fraction of the latest requests that failed.
-func (t *Tracker) FailureShare(now time.Duration) float64 { return t.results.share(now) }
-
 // AnsweredSince reports whether the upstream has responded to a request since the given time.
 func (t *Tracker) AnsweredSince(since time.Duration) bool { return t.lastResponse > since }
 
