--- a/internal/roster/declaration.go
+++ b/internal/roster/declaration.go
@@ -31,7 +31,7 @@
 		return
 	}
 	r.declaration = declarationState{version: version, learnedAt: now}
-	r.gossipTo(r.localPartnersOf(r.currentPartners().live), r.announcement(now))
+	r.gossipTo(r.localPartnersOf(r.currentPartners().chosen), r.announcement(now))
 }
 
 // ConfirmDeclaration records that, by an answer of the store at the given time, the version
--- a/internal/roster/partners.go
+++ b/internal/roster/partners.go
@@ -11,7 +11,7 @@
 // partnerSet holds the partners of a node.
 type partnerSet struct {
 	alive  []mesh.Member // every node that is not silent and has not left
-	live   []mesh.Member // the partners
+	chosen []mesh.Member // the partners
 	silent []mesh.Member // nodes that would be partners if they were not silent
 }
 
@@ -31,14 +31,14 @@
 		}
 	}
 	slices.SortFunc(alive, func(a, b mesh.Member) int { return cmp.Compare(a.Node.Host, b.Node.Host) })
-	r.partners = partnerSet{alive: alive, live: r.choosePartners(slices.Clone(alive))}
+	r.partners = partnerSet{alive: alive, chosen: r.choosePartners(slices.Clone(alive))}
 	for _, m := range r.choosePartners(all) {
 		if r.entries[m.Node.Host].silent {
 			r.partners.silent = append(r.partners.silent, m)
 		}
 	}
-	r.random.Shuffle(len(r.partners.live), func(i, j int) {
-		r.partners.live[i], r.partners.live[j] = r.partners.live[j], r.partners.live[i]
+	r.random.Shuffle(len(r.partners.chosen), func(i, j int) {
+		r.partners.chosen[i], r.partners.chosen[j] = r.partners.chosen[j], r.partners.chosen[i]
 	})
 	r.partnersKnown = true
 	return &r.partners
@@ -70,21 +70,21 @@
 func (r *Roster) chooseReceiver(now time.Duration) (mesh.Member, bool) {
 	partners := r.currentPartners()
 	switch share := r.random.Float64(); {
-	case len(partners.live) == 0 && len(partners.silent) == 0:
+	case len(partners.chosen) == 0 && len(partners.silent) == 0:
 		return mesh.Member{}, false
-	case len(partners.silent) > 0 && (share < silentPartnerShare || len(partners.live) == 0):
+	case len(partners.silent) > 0 && (share < silentPartnerShare || len(partners.chosen) == 0):
 		return partners.silent[r.random.IntN(len(partners.silent))], true
 	case share > 1-r.randomShare(now):
 		return partners.alive[r.random.IntN(len(partners.alive))], true
 	}
-	r.nextPartner = (r.nextPartner + 1) % len(partners.live)
-	return partners.live[r.nextPartner], true
+	r.nextPartner = (r.nextPartner + 1) % len(partners.chosen)
+	return partners.chosen[r.nextPartner], true
 }
 
 // gossip queues a message to up to gossipFanout random partners. The partners differ from
 // node to node, so a change spreads as fast as with random receivers, but over connections
 // that are already open.
-func (r *Roster) gossip(m mesh.Message) { r.gossipTo(r.currentPartners().live, m) }
+func (r *Roster) gossip(m mesh.Message) { r.gossipTo(r.currentPartners().chosen, m) }
 
 func (r *Roster) gossipTo(receivers []mesh.Member, m mesh.Message) {
 	start := 0
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -362,7 +362,7 @@
 	r.self.Serial++
 	r.rehashSelf()
 	m := News{Records: []Record{r.self}}
-	for _, to := range r.currentPartners().live {
+	for _, to := range r.currentPartners().chosen {
 		r.send(to, m)
 	}
 	return r.Outgoing()
