Answer the digests of nodes of the version before

Cause: nodes of the version before list all records in their digests and take nodes without a growing heartbeat for silent; updated nodes sent none and learned no records from them. In a fleet that is updated node by node, the first updated nodes would have found no upstream of other services and got no work. Seen by reading.

Change: such a digest is answered with the records that its sender lacks, a request for those that this node lacks, and a digest with this node's heartbeat. Nodes of this version send no such digests, so nothing changes between them.

Measured: TestDigestOfAnEarlierVersion, at the level of messages. A fleet of old and new processes was not run.

--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -16,6 +16,10 @@
 	Version   uint64
 	Age       time.Duration
 	Confirmed bool
+	// Claim and Entries are those of a node of an earlier version, whose digests list all
+	// records, or are sent to one.
+	Claim   uint64
+	Entries []Seen
 }
 
 // Summary replies to a Digest with another hash: it holds the hash of each bucket.
@@ -120,11 +124,28 @@
 // records differ.
 func (r *Roster) handleDigest(now time.Duration, d Digest) {
 	r.compareDeclaration(now, d)
+	if len(d.Entries) > 0 {
+		r.answerListingDigest(now, d)
+		return
+	}
 	if d.Root != 0 && d.Root != r.root() {
 		r.send(d.From, Summary{From: r.self.Member, Buckets: slices.Clone(r.buckets[:])})
 	}
 }
 
+// answerListingDigest exchanges records with a node of an earlier version, and lets it know
+// that this node lives: it takes nodes without a new heartbeat for silent.
+func (r *Roster) answerListingDigest(now time.Duration, d Digest) {
+	buckets := make([]uint8, bucketCount)
+	for i := range buckets {
+		buckets[i] = uint8(i)
+	}
+	r.compareVersions(now, Versions{From: d.From, Buckets: buckets, Entries: d.Entries})
+	own := r.self.seen(false)
+	own.Beat = uint64(now)
+	r.send(d.From, Digest{From: r.self.Member, Claim: r.self.Claim, Version: r.declaration.version, Entries: []Seen{own}})
+}
+
 // sendRecords sends the records of some hosts to a peer that has requested them.
 func (r *Roster) sendRecords(to mesh.Member, hosts []mesh.Host) {
 	var news News
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -283,3 +283,35 @@
 		}
 	}
 }
+
+// While a fleet is updated, nodes of the version before, whose digests list all records and
+// whose nodes count as silent without a growing heartbeat, must find the updated nodes alive,
+// and the updated nodes must learn their records.
+func TestDigestOfAnEarlierVersion(t *testing.T) {
+	r := New(member(0, 1), 1000, 1)
+	old := member(1, 1)
+	digest := Digest{From: old, Claim: 7, Entries: []Seen{{Host: old.Node.Host, Claim: 7, Serial: 3, Beat: 12}}}
+	beat := uint64(0)
+	for now := time.Second; now < 4*time.Second; now += time.Second {
+		r.Deliver(now, old.Node, digest)
+		asked, told := false, false
+		for _, o := range r.Outgoing() {
+			switch m := o.Message.(type) {
+			case Ask:
+				asked = len(m.Hosts) == 1 && m.Hosts[0] == old.Node.Host
+			case Digest:
+				for _, s := range m.Entries {
+					told = told || s.Host == member(0, 1).Node.Host && s.Claim == 1000 && s.Beat > beat
+					beat = s.Beat
+				}
+			}
+		}
+		if !asked || !told {
+			t.Errorf("at %v the record is asked for: %v, a higher heartbeat is told: %v; want both", now, asked, told)
+		}
+	}
+	r.Deliver(4*time.Second, old.Node, News{Records: []Record{{Member: old, Claim: 7, Serial: 3, Phase: Ready}}})
+	if got := len(r.Members(4*time.Second, "web")); got != 1 {
+		t.Errorf("%d nodes accept work, want the one of the earlier version", got)
+	}
+}
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -18,6 +18,7 @@
 	Host          mesh.Host
 	Claim, Serial uint64
 	Silent        bool
+	Beat          uint64 // heartbeat counter, which nodes of earlier versions expect to grow
 }
 
 // olderThan reports whether s is an older version than other of the same node's record.
