--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -189,7 +189,7 @@
 		n.send(r.Self().Member.Node.Host, r.Outgoing())
 		n.run(time.Second)
 	}
-	// A node has eight partners of its own, as many that chose it, and in ten
+	// A node has partnerCount partners of its own, as many that chose it, and in ten
 	// seconds about two random peers in each direction.
 	if mean := float64(len(n.links)) / nodes; mean > 2*partnerCount+4 {
 		t.Errorf("a node sent messages to %.1f others in ten seconds, want at most %d", mean, 2*partnerCount+4)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -32,7 +32,7 @@
 	// peerIdleTimeout is short because an idle connection uses memory on both sides.
 	peerIdleTimeout = 4 * time.Second
 	// controlIdleTimeout is longer than the usual time between two digests to the same
-	// gossip partner: there are eight partners, and two digests are sent per second.
+	// gossip partner: there are six partners, and two digests are sent per second.
 	controlIdleTimeout  = 12 * time.Second
 	upstreamIdleTimeout = 60 * time.Second // most upstreams send a Keep-Alive limit of their own
 	listenerIdleTimeout = 75 * time.Second // of all listeners; longer than the idle timeout that platforms set for callers
