--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -47,8 +47,8 @@
 	// that is taken for silent, if there is one: it may have started again without access
 	// to the store.
 	silentPartnerShare = 0.25
-	// randomPeerShare is the fraction of rounds in which the digest goes to any known
-	// node instead of a partner, so that groups of nodes that have lost contact with
+	// randomPeerShare is the fraction of rounds in which the digest goes to any node that
+	// is not silent instead of a partner, so that groups of nodes that have lost contact with
 	// each other reconnect. Each such round keeps an additional connection open until
 	// its idle timeout.
 	randomPeerShare = 0.1
