Take no order in a stop that could be cut by the exit

Cause: every request without a key on a route that needs none counts as a call of the local upstream, and such calls were accepted until 0.2 s before the end of a stop, whatever their deadline and whether or not they may be repeated.

Evidence: the lines of the cut orders say inner=true, deadline_ms=1480, ms=600 to 800, so they were neither taken early nor believed to end in time. Orders with a key were refused at the same time.

Change: internal/shutdown decides, without I/O, what a stopping node takes. Requests that may not be repeated must end before the exit by their deadline, whoever sent them. Repeatable calls must end by their deadline, or be expected to by the longest recent call of their route, as a refusal fails the request that makes the call. The decision is made again once the body has been read. Refusals in a stop state the time until the exit.

Why it works: the deadline is kept by the entry node itself, which answers when it passes, and the exit comes 0.3 s after the end that the deadline is compared with.

The constants of the decision moved; the tests that use them check the same, and TestRequestsDuringAStop has three more rows.

--- /dev/null
+++ b/internal/shutdown/shutdown.go
@@ -0,0 +1,68 @@
+// Package shutdown decides which requests a node still takes while it shuts down.
+//
+// Load pattern: requests keep arriving until the process exits. Callers have to learn of the
+// shutdown first, some have no other node to go to, and the local upstream makes calls for
+// the requests that it still runs. A request that is in flight at the exit is aborted without
+// a response, although an upstream may have run it; one that is refused in time can be sent
+// to another node.
+package shutdown
+
+import "time"
+
+const (
+	// NoticeTime is the time from the start of a shutdown in which callers and the platform
+	// learn of it. Until then, requests are taken as before.
+	NoticeTime = time.Second
+	// RefusalAfter is the time from the start of a shutdown after which requests of callers
+	// are refused, so that the node gets idle.
+	RefusalAfter = 2800 * time.Millisecond
+	// LocalMargin is the least time between the expected end of a call of the local upstream
+	// and the exit.
+	LocalMargin = 200 * time.Millisecond
+)
+
+// Progress is the state of a shutdown.
+type Progress struct {
+	Elapsed time.Duration // since its start
+	Left    time.Duration // until requests in flight are aborted
+}
+
+// Request is what is known of a request when it is to be taken or passed on.
+type Request struct {
+	Limit      time.Duration // until its deadline
+	Expected   time.Duration // the time that requests like it take
+	Idempotent bool
+	// Local is set if the local upstream may have made the request on behalf of one that it
+	// runs, which fails if this one is refused.
+	Local bool
+}
+
+// endsInTime reports whether the request ends before the exit even if it takes until its
+// deadline.
+func (r Request) endsInTime(p Progress) bool { return r.Limit <= p.Left }
+
+// Takes reports whether a request that has just arrived is taken. The caller of a request
+// that is not idempotent may not send it again once it has been aborted, so such a request
+// must be certain to end in time, whoever sent it. For a call of the local upstream that is
+// idempotent, the expected time decides, since a refusal costs as much as an aborted call.
+func Takes(p Progress, r Request) bool {
+	switch {
+	case p.Left <= 0:
+		return false
+	case p.Elapsed <= NoticeTime:
+		return true
+	case !r.Idempotent && !r.endsInTime(p):
+		return false
+	case p.Elapsed <= RefusalAfter:
+		return true
+	case r.Local:
+		return r.endsInTime(p) || r.Expected+LocalMargin <= p.Left
+	}
+	return false
+}
+
+// PassesOn reports whether a request that was taken and whose body has been read since is
+// sent to an upstream: a caller may take seconds to send a body.
+func PassesOn(p Progress, r Request) bool {
+	return p.Elapsed <= NoticeTime || r.Idempotent || r.endsInTime(p)
+}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -25,16 +25,6 @@
 	// minRemaining is the least time before the deadline at which another attempt
 	// is made; with less, it could not complete.
 	minRemaining = 15 * time.Millisecond
-	// stopRefusalAfter is the time from the start of a stop after which new requests
-	// are refused, since they would not complete before the process exits.
-	stopRefusalAfter = 2800 * time.Millisecond
-	// stopNoticeTime is the time from the start of a stop in which callers and the platform
-	// learn of it. After it, requests that are not idempotent are accepted only if their
-	// deadline is before the exit.
-	stopNoticeTime = time.Second
-	// nestedStopMargin is the time before the exit in which calls of the local upstream are
-	// refused, too.
-	nestedStopMargin = 200 * time.Millisecond
 )
 
 // attempt is the result of sending a request to one node.
@@ -252,5 +242,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	complete = true
+	if c.nested {
+		n.mu.Lock()
+		n.nestedDurations.Record(n.now(), c.route.Name, n.now()-c.arrived)
+		n.mu.Unlock()
+	}
 	return outcome.Refusal{}, true
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -18,6 +18,7 @@
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/pressure"
 	"cardamomhatch/internal/routing"
+	"cardamomhatch/internal/shutdown"
 )
 
 const (
@@ -37,6 +38,9 @@
 	// wait in the queue of one node. It is larger than queueWaitShare because refusing a
 	// nested call wastes the work already done for the request that made the call.
 	nestedQueueWaitShare = 0.6
+	// unknownDurationShare is the fraction of its time limit that a nested call is expected to
+	// take if its route has no target latency and no recent calls.
+	unknownDurationShare = 0.5
 	// timeoutMargin is subtracted from the time limit of a request, so that the response
 	// of this node reaches the caller before the caller times out.
 	timeoutMargin = 20 * time.Millisecond
@@ -105,8 +109,8 @@
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
-	if c.tooLateForStop() {
-		return n.refusal(outcome.NotRun, outcome.Draining, "the node stops"), false
+	if p, ok := n.stopProgress(); ok && !shutdown.Takes(p, c.stopRequest()) {
+		return n.stopRefusal(p), false
 	}
 	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
 		return n.refusal(outcome.NotRun, outcome.TooLarge, strconv.FormatInt(c.r.ContentLength, 10)), false
@@ -114,19 +118,25 @@
 	return c.admit()
 }
 
-// tooLateForStop reports whether the exit of a stopping node could abort the request. The
-// calls of requests that the local upstream still runs are accepted almost until the exit.
-func (c *call) tooLateForStop() bool {
+// stopRequest describes the request to the decision on what a stopping node takes. Calls of a
+// route without recent ones are expected to take its target latency.
+func (c *call) stopRequest() shutdown.Request {
 	n := c.node
-	elapsed := n.stoppingFor()
-	if elapsed == 0 {
-		return false
+	now := n.now()
+	r := shutdown.Request{Limit: c.deadline - now, Idempotent: c.route.Idempotent, Local: c.nested}
+	if !c.nested {
+		return r
 	}
-	ends := time.Duration(n.stopEnds.Load())
-	if c.nested {
-		return ends > 0 && c.arrived > ends-nestedStopMargin
+	n.mu.Lock()
+	r.Expected = n.nestedDurations.Longest(now, c.route.Name)
+	n.mu.Unlock()
+	if r.Expected == 0 {
+		r.Expected = c.route.TargetLatency
 	}
-	return elapsed > stopRefusalAfter || elapsed > stopNoticeTime && !c.route.Idempotent && ends > 0 && c.deadline > ends
+	if r.Expected == 0 {
+		r.Expected = time.Duration(unknownDurationShare * float64(r.Limit))
+	}
+	return r
 }
 
 // identify looks up the workspace that holds the caller's key. Keys are not forwarded to
@@ -204,6 +214,10 @@
 		c.refuse(c.node.refusal(outcome.NotRun, outcome.CallerGone, err.Error()))
 		return
 	}
+	if p, ok := c.node.stopProgress(); ok && !shutdown.PassesOn(p, c.stopRequest()) {
+		c.refuse(c.node.stopRefusal(p))
+		return
+	}
 	execution := outcome.NotRun // of all attempts together; NotRun is the lowest value
 	last := c.node.refusal(outcome.NotRun, outcome.NoUpstream, "")
 	for {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -336,6 +336,7 @@
 		Routes: []catalog.Route{
 			{Name: "read", Host: "shop", Prefix: "/read/", Services: []catalog.WeightedService{{Service: "web", Weight: 1}}, Idempotent: true, Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 3},
 			{Name: "order", Host: "shop", Prefix: "/order/", Services: []catalog.WeightedService{{Service: "web", Weight: 1}}, Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2},
+			{Name: "notify", Host: "shop", Prefix: "/notify/", Services: []catalog.WeightedService{{Service: "web", Weight: 1}}, AuthExempt: true, Timeout: time.Second, MaxAttempts: 2},
 			{Name: "feed", Host: "shop", Prefix: "/feed/", Services: []catalog.WeightedService{{Service: "stock", Weight: 1}}, Idempotent: true, AuthExempt: true, Timeout: 2 * time.Second, MaxAttempts: 2},
 		},
 		Services:   []catalog.Service{{Name: "web"}, {Name: "stock"}},
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -17,6 +17,7 @@
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/roster"
+	"cardamomhatch/internal/shutdown"
 	"cardamomhatch/internal/upstream"
 )
 
@@ -424,7 +425,7 @@
 // too few other nodes are ready.
 func TestNewRequestLateInAStop(t *testing.T) {
 	_, a, _, _ := startSmallMesh(t)
-	a.node.stopBegan.Store(int64(a.node.now() - stopRefusalAfter - time.Second))
+	a.node.stopBegan.Store(int64(a.node.now() - shutdown.RefusalAfter - time.Second))
 	a.node.stopping.Store(true)
 	got := a.call("late", "POST", "/order/1", "k1", "x")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || !got.closes {
@@ -443,13 +444,16 @@
 		key           string
 		want          int
 	}{
-		{stopNoticeTime / 2, 3 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
-		{stopNoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "POST", "/order/1", "k1", http.StatusServiceUnavailable},
-		{stopNoticeTime + 500*time.Millisecond, 6 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
-		{stopNoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/read/1", "k1", http.StatusOK},
-		{stopRefusalAfter + 500*time.Millisecond, 6 * time.Second, "GET", "/read/1", "k1", http.StatusServiceUnavailable},
-		{stopRefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/feed/1", "", http.StatusOK},
-		{stopRefusalAfter + 500*time.Millisecond, nestedStopMargin / 2, "GET", "/feed/1", "", http.StatusServiceUnavailable},
+		{shutdown.NoticeTime / 2, 3 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
+		{shutdown.NoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "POST", "/order/1", "k1", http.StatusServiceUnavailable},
+		{shutdown.NoticeTime + 500*time.Millisecond, 6 * time.Second, "POST", "/order/1", "k1", http.StatusOK},
+		{shutdown.NoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/read/1", "k1", http.StatusOK},
+		{shutdown.RefusalAfter + 500*time.Millisecond, 6 * time.Second, "GET", "/read/1", "k1", http.StatusServiceUnavailable},
+		{shutdown.RefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/feed/1", "", http.StatusOK},
+		{shutdown.RefusalAfter + 500*time.Millisecond, shutdown.LocalMargin / 2, "GET", "/feed/1", "", http.StatusServiceUnavailable},
+		{shutdown.RefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "POST", "/notify/1", "", http.StatusOK},
+		{shutdown.RefusalAfter + 500*time.Millisecond, 500 * time.Millisecond, "POST", "/notify/1", "", http.StatusServiceUnavailable},
+		{shutdown.NoticeTime + 500*time.Millisecond, 500 * time.Millisecond, "POST", "/notify/1", "", http.StatusServiceUnavailable},
 	} {
 		a.node.stopBegan.Store(int64(a.node.now() - test.elapsed))
 		a.node.stopEnds.Store(int64(a.node.now() + test.left))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,6 +23,7 @@
 	"cardamomhatch/internal/retry"
 	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
+	"cardamomhatch/internal/shutdown"
 	"cardamomhatch/internal/slots"
 	"cardamomhatch/internal/upstream"
 )
@@ -93,6 +94,8 @@
 	cuts           *pressure.CutTable  // cuts reported by serving nodes
 	callGraph      *pressure.CallGraph // which services the requests of each route call
 	inFlight       *pressure.InFlight  // requests at the local upstream
+	// nestedDurations holds how long recent nested calls took from their arrival at this node.
+	nestedDurations *shutdown.Durations
 }
 
 // New creates a node. Call Start to serve requests.
@@ -120,6 +123,8 @@
 		loggedCut:    pressure.OpenCut,
 		cuts:         pressure.NewCutTable(),
 		callGraph:    pressure.NewCallGraph(),
+
+		nestedDurations: shutdown.NewDurations(),
 	}
 	n.inFlight = pressure.NewInFlight(n.callGraph)
 	n.gate.AwaitAnswer()
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/roster"
 	"cardamomhatch/internal/routing"
+	"cardamomhatch/internal/shutdown"
 	"cardamomhatch/internal/slots"
 	"cardamomhatch/internal/upstream"
 )
@@ -389,6 +391,27 @@
 	return n.stoppingFor() > announceStopDelay+gossipDelay
 }
 
+// stopProgress returns the state of the stop; ok is false if the node is not stopping.
+func (n *Node) stopProgress() (p shutdown.Progress, ok bool) {
+	if !n.stopping.Load() {
+		return p, false
+	}
+	p = shutdown.Progress{Elapsed: n.stoppingFor(), Left: math.MaxInt64}
+	if ends := time.Duration(n.stopEnds.Load()); ends > 0 {
+		p.Left = ends - n.now()
+	}
+	return p, true
+}
+
+// stopRefusal returns the refusal of a request that a stopping node does not take.
+func (n *Node) stopRefusal(p shutdown.Progress) outcome.Refusal {
+	detail := "the node stops"
+	if p.Left < math.MaxInt64 {
+		detail += " in " + strconv.FormatInt(p.Left.Milliseconds(), 10) + " ms at the latest"
+	}
+	return n.refusal(outcome.NotRun, outcome.Draining, detail)
+}
+
 // stoppingFor returns the time since the stop began, or zero if the node is not
 // stopping.
 func (n *Node) stoppingFor() time.Duration {
