Refuse orders from peers that a stop could cut

Callers saw: 502 peer-lost for orders that had run, when the node beside the chosen upstream stopped.

Cause: only the entry path asked whether a request can end before the exit. The serving path took everything until 1.9 s after SIGTERM.

Change: the serving path asks internal/shutdown, too. Why it works: the refusal says that the order has not run, so the entry node sends it to another node at once.

--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -371,8 +371,8 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
-	if n.stopKnownToPeers() {
-		n.writePeerRefusal(w, h.Route, n.refusal(outcome.NotRun, outcome.Draining, "the node stops"))
+	if p, ok := n.stopProgress(); ok && (n.stopKnownToPeers() || !shutdown.Takes(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent})) {
+		n.writePeerRefusal(w, h.Route, n.stopRefusal(p))
 		return
 	}
 	result := n.serveUpstream(r.Context(), req)
