Keep the departure of an upstream beyond the node that acknowledged it

Cause: only the memory of the acknowledging process, and records that its next incarnation replaces, held that the upstream leaves. A process without an earlier announcement believed any.

Evidence: in the log of the restarted node, four probes are answered with 503, then the delayed heartbeat (sequence 8) sets phase 1. No order reached the upstream between the acknowledgement and that line, so neither probes nor old records at peers were the cause.

Change: the departure (instance, start time, sequence) is written to the store before it is acknowledged, at the latest 0.4 s after it arrived, and it is part of the node's record. A starting node reads it with the list of nodes; peers return it to an incarnation that lacks it. Until then, for at most 2 s, an announcement alone puts no upstream into use. Announcements of a start that has left have no effect, those of a later start have at once.

Why it works: an upstream is reached through its own node only, so what the fleet does depends on what the node's next incarnation believes. The store keeps the departure whoever dies; peers keep it while the store is away.

Cost: one append to the store for each upstream that leaves; no further call at a start.

--- /dev/null
+++ b/internal/roster/departure.go
@@ -0,0 +1,52 @@
+package roster
+
+// Departure is the first announcement by which a start of an upstream said that it leaves.
+// Once the node beside the upstream has acknowledged it, the upstream gets no new work, also
+// if that node starts again and an earlier announcement arrives late. The node therefore
+// keeps it in its record and in the platform's store; its peers return it to the node's next
+// incarnation.
+type Departure struct {
+	Instance     string // empty: no departure
+	StartTime    int64  // of the upstream, in Unix milliseconds; zero: not known
+	Sequence     uint64 // of the announcement; a deregistration has none
+	Deregistered bool   // only a restart makes the upstream ready again
+}
+
+// IsZero reports whether there is no departure.
+func (d Departure) IsZero() bool { return d.Instance == "" }
+
+// NewerThan reports whether the departure is to replace another one of the same host.
+func (d Departure) NewerThan(other Departure) bool {
+	switch {
+	case d.IsZero() || other.IsZero():
+		return !d.IsZero()
+	case d.StartTime != other.StartTime:
+		return d.StartTime > other.StartTime
+	case d.Deregistered != other.Deregistered:
+		return d.Deregistered
+	}
+	return d.Sequence > other.Sequence
+}
+
+// EarlierDeparture returns the newest departure that an earlier incarnation of this node has
+// acknowledged, as far as the peers have returned it.
+func (r *Roster) EarlierDeparture() Departure { return r.earlierDeparture }
+
+// learnDeparture takes the departure from a record of this node's host.
+func (r *Roster) learnDeparture(rec *Record) {
+	if rec.Departure.NewerThan(r.earlierDeparture) {
+		r.earlierDeparture = rec.Departure
+	}
+}
+
+// keepDeparture keeps the departure of a record in its entry. If the record is that of a new
+// incarnation, which does not know of the departure, it is returned to it.
+func (r *Roster) keepDeparture(e *entry, rec *Record) {
+	if !rec.Departure.IsZero() {
+		e.departure = rec.Departure
+		return
+	}
+	if !e.departure.IsZero() {
+		r.send(rec.Member, News{Records: []Record{{Member: rec.Member, Departure: e.departure}}})
+	}
+}
--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -45,6 +45,8 @@
 	// is taken for silent; zero stands for localPatience or remotePatience. It doubles each
 	// time, because a node that is silent to this node only publishes a newer record.
 	patience time.Duration
+	// departure is the last one in a record of the host, of any incarnation.
+	departure Departure
 }
 
 // seen returns the version of the entry.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -89,6 +89,8 @@
 	Stopping bool                       // the node accepts no new work and shuts down soon
 	Left     bool                       // the node has shut down cleanly
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
+	// Departure is that of the node's upstream, or of the one before it.
+	Departure Departure `json:",omitzero"`
 }
 
 // seen returns the version of the record.
@@ -144,6 +146,7 @@
 	partnersKnown       bool
 	nextPartner         int         // index of the partner that gets the next digest
 	changedHosts        []mesh.Host // whose records are to be sent to some partners
+	earlierDeparture    Departure   // returned by peers to this incarnation of the node
 	outgoing            []mesh.Outgoing
 }
 
@@ -188,6 +191,7 @@
 	host := rec.Member.Node.Host
 	if host == r.self.Member.Node.Host {
 		r.raiseClaim(&rec)
+		r.learnDeparture(&rec)
 		return
 	}
 	e := r.entries[host]
@@ -200,11 +204,12 @@
 
 // merge adds a record from a peer if it is newer than the known one, and reports whether it
 // may change where work can be sent. A record of this node's own host is not added, but
-// may raise the node's claim.
+// may raise the node's claim and return a departure.
 func (r *Roster) merge(now time.Duration, rec Record) bool {
 	host := rec.Member.Node.Host
 	if host == r.self.Member.Node.Host {
 		r.raiseClaim(&rec)
+		r.learnDeparture(&rec)
 		return false
 	}
 	e := r.entries[host]
@@ -218,6 +223,7 @@
 		return false
 	}
 	old := *e
+	r.keepDeparture(e, &rec)
 	if old.record.Claim != rec.Claim || !old.confirmed {
 		e.patience = 0
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -60,9 +60,9 @@
 	Decode(raw []byte) (*catalog.Catalog, error)
 }
 
-// Directory stores one record per host, with the address of the node on that host.
+// Directory stores the newest record for each key, durably.
 type Directory interface {
-	Publish(ctx context.Context, host mesh.Host, record []byte) error
+	Publish(ctx context.Context, key string, record []byte) error
 	List(ctx context.Context) ([][]byte, error)
 }
 
--- /dev/null
+++ b/internal/sidecar/departure.go
@@ -0,0 +1,145 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomhatch/internal/eventlog"
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/peer"
+	"cardamomhatch/internal/roster"
+)
+
+const (
+	// departureWait bounds how long the acknowledgement that the upstream leaves waits for
+	// the store. Upstreams wait a second for the acknowledgement.
+	departureWait = 400 * time.Millisecond
+	// historyWait is the time from the start of a node in which the store or a peer is
+	// expected to tell of departures that earlier incarnations have acknowledged. It leaves
+	// peers time for several digests, in case the store is down.
+	historyWait = 2 * time.Second
+	// departureKeyPrefix and the host form the key of a departure in the directory.
+	departureKeyPrefix = "departure/"
+)
+
+// storedRecord is a record of the directory: either that of a node, or a departure that the
+// node on the host DepartureOf has acknowledged. They have separate keys, so that a node that
+// starts again does not overwrite the departure.
+type storedRecord struct {
+	roster.Record
+	DepartureOf mesh.Host `json:",omitempty"`
+}
+
+// decodeStoredRecord decodes and checks a record of the directory.
+func decodeStoredRecord(raw []byte) (storedRecord, error) {
+	var r storedRecord
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, err
+	}
+	if r.DepartureOf == "" {
+		return r, r.Check()
+	}
+	if r.Departure.IsZero() || r.Departure.StartTime < 0 {
+		return r, errors.Errorf("departure %+v of %s is invalid", r.Departure, r.DepartureOf)
+	}
+	return r, nil
+}
+
+// storeDepartures writes each new departure of the local upstream to the store, until the
+// node shuts down.
+func (n *Node) storeDepartures() {
+	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 3)), maxStoreBackoff) // 3: other jitter than in the other loops
+	for {
+		select {
+		case <-n.runCtx.Done():
+			return
+		case <-n.departures:
+		}
+		n.retryStoreCall(backoff, "publish departure", n.storeDeparture)
+	}
+}
+
+// storeDeparture writes the departure of the local upstream to the store.
+func (n *Node) storeDeparture() error {
+	n.mu.Lock()
+	d := n.tracker.Departure()
+	n.mu.Unlock()
+	record, err := json.Marshal(struct {
+		DepartureOf mesh.Host
+		Departure   roster.Departure
+	}{n.cfg.Self.Node.Host, d})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := n.context(storeTimeout)
+	defer cancel()
+	if err := n.cfg.Directory.Publish(ctx, departureKeyPrefix+string(n.cfg.Self.Node.Host), record); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.setStoredDeparture(d)
+	return nil
+}
+
+// setStoredDeparture records that the store holds the departure or a newer one. n.mu must be
+// held.
+func (n *Node) setStoredDeparture(d roster.Departure) {
+	if !d.NewerThan(n.storedDeparture) {
+		return
+	}
+	n.storedDeparture = d
+	close(n.departureStored)
+	n.departureStored = make(chan struct{})
+}
+
+// requestDepartureWrite makes storeDepartures write the departure of the local upstream, unless
+// the store holds it. n.mu must be held.
+func (n *Node) requestDepartureWrite() {
+	if n.tracker.Departure() == n.storedDeparture {
+		return
+	}
+	select {
+	case n.departures <- struct{}{}:
+	default: // a write is due already
+	}
+}
+
+// awaitDepartureStored waits until the store holds the departure, so that the node's next
+// incarnation learns of it even if this one and its peers end now. After departureWait, the
+// peers that the departure was sent to must do.
+func (n *Node) awaitDepartureStored(d roster.Departure) {
+	timer := time.NewTimer(departureWait)
+	defer timer.Stop()
+	for {
+		n.mu.Lock()
+		stored, changed := n.storedDeparture, n.departureStored
+		n.mu.Unlock()
+		if stored == d || stored.NewerThan(d) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			n.cfg.Log.Write(eventlog.Observation, "departure acknowledged but not stored", "instance", d.Instance, "born", d.StartTime)
+			return
+		case <-n.runCtx.Done():
+			return
+		}
+	}
+}
+
+// learnDeparture takes over a departure that an earlier incarnation of this node has
+// acknowledged. source is used for the log. n.mu must be held.
+func (n *Node) learnDeparture(d roster.Departure, source string) {
+	if !n.tracker.LearnDeparture(n.now(), d) {
+		return
+	}
+	n.publishPhase(n.now())
+	n.requestDepartureWrite()
+	n.cfg.Log.Write(eventlog.Observation, "departure learned", "source", source, "instance", d.Instance, "born", d.StartTime,
+		"sequence", d.Sequence, "deregistered", d.Deregistered)
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -252,11 +252,11 @@
 	}
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
-	return n.cfg.Directory.Publish(ctx, self.Member.Node.Host, record)
+	return n.cfg.Directory.Publish(ctx, string(self.Member.Node.Host), record)
 }
 
-// listNodes reads the records of all nodes from the store into the roster. From then on,
-// the roster counts as complete: the rate limits and the retry budgets may be divided among
+// listNodes reads the records of all nodes from the store into the roster, and the departure
+// that an earlier incarnation of this node has acknowledged. From then on, the roster counts as complete: the rate limits and the retry budgets may be divided among
 // its nodes.
 func (n *Node) listNodes() error {
 	ctx, cancel := n.context(storeTimeout)
@@ -267,17 +267,19 @@
 	}
 	n.mu.Lock()
 	for _, raw := range records {
-		var record roster.Record
-		err := json.Unmarshal(raw, &record)
-		if err == nil {
-			err = record.Check()
-		}
-		if err != nil {
+		record, err := decodeStoredRecord(raw)
+		switch {
+		case err != nil:
 			n.cfg.Log.Write(eventlog.Observation, "invalid node record skipped", "err", err, "bytes", len(raw))
-			continue
+		case record.DepartureOf == n.cfg.Self.Node.Host:
+			n.setStoredDeparture(record.Departure)
+			n.learnDeparture(record.Departure, "store")
+		case record.DepartureOf == "":
+			n.roster.Merge(n.now(), record.Record)
 		}
-		n.roster.Merge(n.now(), record)
 	}
+	n.tracker.RecordHistory()
+	n.publishPhase(n.now())
 	n.roster.MarkSynced()
 	n.storeListed = true
 	n.refreshTable(n.now())
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -40,7 +40,7 @@
 	version     uint64
 	declaration func(version uint64) catalog.Declaration
 	changed     chan struct{}         // closed when a new version is stored
-	nodes       map[mesh.Host][]byte  // published records
+	records     map[string][]byte     // published records, by key
 	unavailable map[string]bool       // hosts to which the store does not respond; "" stands for all hosts
 	reads       map[string]int        // reads of the declaration, by host
 	openReads   map[int]chan struct{} // by number of the read; closed when its response is lost
@@ -48,7 +48,7 @@
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, changed: make(chan struct{}), nodes: map[mesh.Host][]byte{}, unavailable: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+	return &store{version: 1, declaration: d, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
 }
 
 // loseOpenReads makes the store never respond to the reads that are open now.
@@ -135,13 +135,13 @@
 	return catalog.New(c.declaration(version))
 }
 
-func (c storeClient) Publish(_ context.Context, host mesh.Host, record []byte) error {
+func (c storeClient) Publish(_ context.Context, key string, record []byte) error {
 	if err := c.checkAvailable(); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nodes[host] = record
+	c.records[key] = record
 	return nil
 }
 
@@ -152,7 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out [][]byte
-	for _, record := range c.nodes {
+	for _, record := range c.records {
 		out = append(out, record)
 	}
 	return out, nil
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -22,7 +22,8 @@
 )
 
 // HandleAnnouncement processes an announcement of an upstream. It returns false if
-// the announcement is not from the local upstream.
+// the announcement is not from the local upstream. If the upstream leaves, it returns once
+// the store holds the departure, or after departureWait.
 func (n *Node) HandleAnnouncement(a upstream.Announcement) bool {
 	n.mu.Lock()
 	now := n.now()
@@ -38,6 +39,8 @@
 		n.gate.SetSlots(n.tracker.Current().Slots)
 	}
 	n.publishPhase(now)
+	n.requestDepartureWrite()
+	departure := n.tracker.Departure()
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.send(out)
@@ -45,6 +48,9 @@
 		n.cfg.Log.Write(eventlog.Observation, "upstream announced", "instance", a.Instance, "service", a.Service, "state", a.State.String(),
 			"slots", a.Slots, "sequence", a.Sequence, "born", a.StartTime, "restarted", result.Restarted, "foreign", result.Foreign)
 	}
+	if a.State != upstream.Ready && !result.Foreign {
+		n.awaitDepartureStored(departure)
+	}
 	return !result.Foreign
 }
 
@@ -61,11 +67,12 @@
 	phase := n.tracker.Phase(now)
 	current := n.tracker.Current()
 	self := n.roster.Self()
-	if phase == self.Phase && current.Instance == self.Instance && current.Slots == self.Slots {
+	departure := n.tracker.Departure()
+	if phase == self.Phase && current.Instance == self.Instance && current.Slots == self.Slots && departure == self.Departure {
 		return
 	}
 	n.roster.Update(true, func(r *roster.Record) {
-		r.Phase, r.Instance, r.Slots = phase, current.Instance, current.Slots
+		r.Phase, r.Instance, r.Slots, r.Departure = phase, current.Instance, current.Slots, departure
 	})
 	n.cfg.Log.Write(eventlog.Observation, "upstream phase", "phase", uint8(phase), "instance", current.Instance,
 		"slots", current.Slots, "announced_ms", n.tracker.Age(now).Milliseconds())
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -290,13 +290,13 @@
 		return []byte(`{"Member":{"Node":{"Host":"` + host + `","Incarnation":7},"DataCentre":"dc","Service":"web","PeerAddress":"` + address + `"},"Claim":` + claim + `,"Serial":9,"Phase":1,"Instance":"x","Slots":8}`)
 	}
 	const largest = "18446744073709551615"
-	s.nodes["deep"] = []byte(strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000))
-	s.nodes["large"] = record("large", "127.0.0.1:9", "99999999999999999999999")
-	s.nodes["port"] = record("port", "127.0.0.1:99999", "5")
-	s.nodes["address"] = record("address", "", "5")
-	s.nodes["nameless"] = record("", "127.0.0.1:9", "5")
-	s.nodes["slots"] = bytes.Replace(record("slots", "127.0.0.1:9", "5"), []byte(`"Slots":8`), []byte(`"Slots":-8`), 1)
-	s.nodes["claim-of-c"] = record("c", "127.0.0.1:9", largest)
+	s.records["deep"] = []byte(strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000))
+	s.records["large"] = record("large", "127.0.0.1:9", "99999999999999999999999")
+	s.records["port"] = record("port", "127.0.0.1:99999", "5")
+	s.records["address"] = record("address", "", "5")
+	s.records["nameless"] = record("", "127.0.0.1:9", "5")
+	s.records["slots"] = bytes.Replace(record("slots", "127.0.0.1:9", "5"), []byte(`"Slots":8`), []byte(`"Slots":-8`), 1)
+	s.records["claim-of-c"] = record("c", "127.0.0.1:9", largest)
 	a, b, c := startHost(t, s, "a", "web", 8), startHost(t, s, "b", "web", 8), startHost(t, s, "c", "stock", 8)
 	waitForSmallMesh(t, a, b, c)
 	for _, h := range []*host{a, b, c} {
@@ -355,6 +355,13 @@
 
 // restartNode starts the node again at the peer address that other nodes know.
 func (h *host) restartNode(t *testing.T, s *store, name, peerAddress string) {
+	t.Helper()
+	h.restartBesideSilentUpstream(t, peerAddress)
+	h.startAnnouncing(t)
+}
+
+// restartBesideSilentUpstream is restartNode for an upstream that does not announce itself.
+func (h *host) restartBesideSilentUpstream(t *testing.T, peerAddress string) {
 	t.Helper()
 	var l net.Listener
 	eventually(t, "the address is free", func() bool {
@@ -373,7 +380,6 @@
 	h.node = New(cfg)
 	h.node.Start()
 	t.Cleanup(h.node.shutdown)
-	h.startAnnouncing(t)
 }
 
 // During a graceful stop, requests in flight must complete, responses must close the
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -56,6 +56,7 @@
 	receiver      *peer.Receiver  // of control messages
 	controlClient *peer.Client    // sends control messages to peers
 	upstreamPool  *exchange.Pool  // connections to the local upstream
+	departures    chan struct{}   // receives a value when a departure is to be stored
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
 	openRequests  atomic.Int64    // requests in flight from callers and peers
 	runCtx        context.Context // cancelled at shutdown
@@ -96,6 +97,8 @@
 	inFlight       *pressure.InFlight  // requests at the local upstream
 	// nestedDurations holds how long recent nested calls took from their arrival at this node.
 	nestedDurations *shutdown.Durations
+	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
+	departureStored chan struct{}    // closed when storedDeparture changes
 }
 
 // New creates a node. Call Start to serve requests.
@@ -107,7 +110,7 @@
 		roster:  roster.New(cfg.Self, cfg.Claim, cfg.Seed),
 		tracker: upstream.New(upstream.Config{
 			Service: cfg.Self.Service, Address: cfg.UpstreamAddress,
-			AnnounceInterval: cfg.Bounds.Heartbeat, DrainTime: cfg.Bounds.Drain,
+			AnnounceInterval: cfg.Bounds.Heartbeat, DrainTime: cfg.Bounds.Drain, HistoryWait: historyWait,
 		}),
 		gate:        slots.New(),
 		slotWaiters: map[uint64]chan slots.Decision{},
@@ -125,6 +128,8 @@
 		callGraph:    pressure.NewCallGraph(),
 
 		nestedDurations: shutdown.NewDurations(),
+		departures:      make(chan struct{}, 1),
+		departureStored: make(chan struct{}),
 	}
 	n.inFlight = pressure.NewInFlight(n.callGraph)
 	n.gate.AwaitAnswer()
@@ -165,6 +170,7 @@
 	n.startLoop(n.tick)
 	n.startLoop(n.followDeclaration)
 	n.startLoop(n.publishAndList)
+	n.startLoop(n.storeDepartures)
 	n.startLoop(n.probe)
 	n.startLoop(n.trimPools)
 	n.cfg.Log.Write(eventlog.Lifecycle, "started", "incarnation", uint64(n.cfg.Self.Node.Incarnation),
@@ -280,6 +286,7 @@
 		return
 	}
 	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
+	n.learnDeparture(n.roster.EarlierDeparture(), "peer")
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
 	if sendDeclaration && n.rawDeclaration != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -67,6 +67,10 @@
 	Address          string
 	AnnounceInterval time.Duration
 	DrainTime        time.Duration // how long an upstream still serves, at least, after it has announced that it is draining
+	// HistoryWait is the time until which an upstream that has only announced itself is not
+	// used unless RecordHistory is called: an earlier incarnation of the node may have
+	// acknowledged its departure, and the announcement may have been delayed since.
+	HistoryWait time.Duration
 }
 
 // Tracker tracks the state of one upstream. All times are durations since one arbitrary
@@ -83,6 +87,10 @@
 	announced     bool          // an announcement was accepted since the last replacement
 	saidLeaving   bool          // a response of the known start said that it leaves
 	replacedStart int64         // start time of the last upstream that was replaced; zero: none, or not known
+	// departure is the last one that this or an earlier incarnation of the node has
+	// acknowledged.
+	departure    roster.Departure
+	historyKnown bool // departure includes those of earlier incarnations
 }
 
 // New returns a tracker of an upstream that has not been seen yet.
@@ -110,29 +118,95 @@
 		return Result{Stale: true}
 	}
 	result := Result{Restarted: !t.sameStart(a)}
-	if a.Slots == 0 && !result.Restarted {
-		a.Slots = t.last.Slots
+	if !result.Restarted {
+		if a.Slots == 0 {
+			a.Slots = t.last.Slots
+		}
+		if a.StartTime == 0 {
+			a.StartTime = t.last.StartTime
+		}
 	}
 	result.Changed = result.Restarted || t.last.State != a.State || t.last.Slots != a.Slots
 	if result.Restarted {
 		t.saidLeaving = false
 	}
-	if a.State != Ready && !t.saidLeaving && (result.Restarted || t.last.State == Ready) {
-		t.leavingSince = now
+	if a.State != Ready && (result.Restarted || t.last.State == Ready) {
+		t.recordDeparture(now, a)
 	}
 	t.last, t.known, t.announced, t.lastContact, t.down = a, true, true, now, false
 	return result
 }
 
+// recordDeparture records that the upstream starts to leave with the announcement. If an
+// earlier incarnation of the node has or may have acknowledged that, the drain time began then.
+func (t *Tracker) recordDeparture(now time.Duration, a Announcement) {
+	readyAgain := t.announced && t.last.State == Ready // since the last known departure
+	acknowledged := !readyAgain && a.Instance == t.departure.Instance && startTimesMatch(a.StartTime, t.departure.StartTime)
+	switch {
+	case acknowledged || t.awaitsHistory(now):
+		t.leavingSince = now - t.cfg.DrainTime
+	case !t.saidLeaving:
+		t.leavingSince = now
+	}
+	d := roster.Departure{Instance: a.Instance, StartTime: a.StartTime, Sequence: a.Sequence, Deregistered: a.State == Deregistered}
+	if !acknowledged || d.NewerThan(t.departure) {
+		t.departure = d
+	}
+}
+
+// Departure returns the last departure of an upstream that this or an earlier incarnation of
+// the node has acknowledged.
+func (t *Tracker) Departure() roster.Departure { return t.departure }
+
+// LearnDeparture records a departure that an earlier incarnation of the node has
+// acknowledged, and reports whether it was not known.
+func (t *Tracker) LearnDeparture(now time.Duration, d roster.Departure) bool {
+	if !d.NewerThan(t.departure) {
+		return false
+	}
+	t.departure = d
+	if t.known && t.departed(t.last) {
+		t.last.State = Draining
+		if d.Deregistered {
+			t.last.State = Deregistered
+		}
+		if t.last.StartTime == 0 {
+			t.last.StartTime = d.StartTime
+		}
+		t.leavingSince = now - t.cfg.DrainTime
+	}
+	return true
+}
+
+// RecordHistory records that the departures that earlier incarnations of the node have
+// acknowledged have been learned.
+func (t *Tracker) RecordHistory() { t.historyKnown = true }
+
+// departed reports whether the announcement was made before the last known departure.
+func (t *Tracker) departed(a Announcement) bool {
+	d := &t.departure
+	switch {
+	case d.IsZero() || a.Instance != d.Instance:
+		return false
+	case !startTimesMatch(a.StartTime, d.StartTime):
+		return a.StartTime < d.StartTime
+	}
+	return d.Deregistered || a.Sequence <= d.Sequence
+}
+
 // sameStart reports whether the announcement is from the known start of the upstream.
 // An unknown start time matches any.
 func (t *Tracker) sameStart(a Announcement) bool {
 	if !t.known || a.Instance != t.last.Instance {
 		return false
 	}
-	return a.StartTime == t.last.StartTime || a.StartTime == 0 || t.last.StartTime == 0
+	return startTimesMatch(a.StartTime, t.last.StartTime)
 }
 
+// startTimesMatch reports whether two start times can be the same. Zero stands for an unknown
+// one.
+func startTimesMatch(a, b int64) bool { return a == b || a == 0 || b == 0 }
+
 // stale reports whether the announcement is older than the last one. Announcements
 // after a deregistration are stale, too, because a deregistered upstream becomes ready
 // again only by a restart. A deregistration has no sequence number, so its field is
@@ -141,6 +215,9 @@
 	if a.StartTime != 0 && a.StartTime <= t.replacedStart {
 		return true
 	}
+	if a.State == Ready && t.departed(a) {
+		return true
+	}
 	if !t.known || !t.announced {
 		return false
 	}
@@ -156,12 +233,14 @@
 	return a.Sequence <= t.last.Sequence || t.last.State == Deregistered
 }
 
-// HandleProbe records the instance and slots from the response to a health probe. It
-// returns false and changes nothing if the upstream is known already.
+// HandleProbe records the instance and slots from the response of a healthy upstream to a
+// health probe. It returns false and changes nothing if the upstream is known already, or if
+// the response does not show whether the instance has been started again since it left.
 func (t *Tracker) HandleProbe(now time.Duration, instance string, slots int) bool {
-	if t.known {
+	if t.known || instance == t.departure.Instance {
 		return false
 	}
+	t.historyKnown = true // a healthy upstream is not leaving
 	t.last = Announcement{Instance: instance, Service: t.cfg.Service, Address: t.cfg.Address, Slots: slots}
 	t.known, t.lastContact = true, now
 	return true
@@ -212,12 +291,19 @@
 	switch {
 	case !t.known, t.silent(now), t.down:
 		return roster.Absent
+	case !t.leaving() && t.awaitsHistory(now):
+		return roster.Absent
 	case t.leaving():
 		return roster.Leaving
 	}
 	return roster.Ready
 }
 
+// awaitsHistory reports whether an upstream that has announced itself may have left before.
+func (t *Tracker) awaitsHistory(now time.Duration) bool {
+	return !t.historyKnown && now < t.cfg.HistoryWait
+}
+
 // silent reports whether the last announcement or probe and the last response are both
 // too long ago.
 func (t *Tracker) silent(now time.Duration) bool {
@@ -228,7 +314,7 @@
 // Accepts reports whether a request may be sent to the upstream now. An upstream that
 // is down is tried again after reconnectDelay.
 func (t *Tracker) Accepts(now time.Duration) bool {
-	if !t.known || t.silent(now) {
+	if !t.known || t.silent(now) || t.awaitsHistory(now) {
 		return false
 	}
 	if t.down && now-t.lastRefused < reconnectDelay {
