Probe an upstream that announced itself while the store is silent

Cause: a node that starts and hears an announcement before it has read the departures waits for up to 2 s if the store does not answer, although the upstream can tell by its health path that it is not leaving: probes ended with the first announcement.

Only a healthy answer of the instance that announced itself counts. Without such an answer the wait is as before. No probe is added while the store answers in time.

Also: the decision on requests of peers during a stop is a function of its own.

Test: TestAnnouncementBeforeTheHistoryIsKnown, with these answers, failed before and passes.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -14,7 +14,7 @@
 	// learn of it. Until then, requests are taken as before.
 	NoticeTime = time.Second
 	// RefusalAfter is the time from the start of a shutdown after which requests of callers
-	// are refused, so that the node gets idle.
+	// are refused, so that the node becomes idle.
 	RefusalAfter = 2800 * time.Millisecond
 	// LocalMargin is the least time between the expected end of a call of the local upstream
 	// and the exit.
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -19,6 +19,8 @@
 	// maxProbes limits the probes of a starting node. It is greater than one because a
 	// probe is skipped if the declaration, which holds the health path, has not arrived.
 	maxProbes = 4
+	// listTime is the time from the start by which a node has usually listed the departures.
+	listTime = listDelay + probeDelay
 )
 
 // HandleAnnouncement processes an announcement of an upstream. It returns false if
@@ -80,7 +82,8 @@
 }
 
 // probe sends health probes to learn the instance of an upstream that has not
-// announced itself to this process, for example after a restart of the node alone.
+// announced itself to this process, for example after a restart of the node alone, and
+// whether one that has is leaving, if the store does not tell.
 func (n *Node) probe() {
 	for range maxProbes {
 		if !n.pause(probeDelay) {
@@ -95,11 +98,14 @@
 			continue
 		}
 		n.mu.Lock()
-		known := n.tracker.Known()
+		known, needed := n.tracker.Known(), n.tracker.NeedsProbe(n.now())
 		n.mu.Unlock()
-		if known {
+		if !needed {
 			return
 		}
+		if known && n.now() < listTime {
+			continue // the store is about to tell whether the upstream has left
+		}
 		n.probeOnce(s.HealthPath)
 	}
 }
@@ -127,7 +133,7 @@
 	load, _ := n.cfg.Dialect.ParseLoad(resp.Header.Get(n.cfg.Dialect.Load))
 	n.mu.Lock()
 	if n.tracker.HandleProbe(n.now(), instance, load.Slots) {
-		n.gate.SetSlots(load.Slots)
+		n.gate.SetSlots(n.tracker.Current().Slots)
 		n.publishPhase(n.now())
 	}
 	out := n.roster.Outgoing()
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -371,7 +371,7 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
-	if p, ok := n.stopProgress(); ok && (n.stopKnownToPeers() || !shutdown.Takes(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent})) {
+	if p, ok := n.stopProgress(); ok && !n.takesFromPeer(p, &h) {
 		n.writePeerRefusal(w, h.Route, n.stopRefusal(p))
 		return
 	}
@@ -384,11 +384,14 @@
 	n.relayToPeer(w, req, result)
 }
 
-// stopKnownToPeers reports whether a stopping node has announced its stop long enough
-// ago for all peers to know.
-func (n *Node) stopKnownToPeers() bool {
+// takesFromPeer reports whether a stopping node takes a request that a peer has forwarded. Once
+// the stop has been announced long enough ago for all peers to know, it takes none.
+func (n *Node) takesFromPeer(p shutdown.Progress, h *hop) bool {
 	const gossipDelay = 300 * time.Millisecond // time for gossip to reach all peers
-	return n.stoppingFor() > announceStopDelay+gossipDelay
+	if p.Elapsed > announceStopDelay+gossipDelay {
+		return false
+	}
+	return shutdown.Takes(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent})
 }
 
 // stopProgress returns the state of the stop; ok is false if the node is not stopping.
--- a/internal/upstream/departure_test.go
+++ b/internal/upstream/departure_test.go
@@ -43,6 +43,17 @@
 	if !tracker.HandleProbe(0, "a", 10) || !tracker.Accepts(0) {
 		t.Error("a healthy upstream that answered a probe is not in use")
 	}
+	tracker = restartedTracker()
+	tracker.HandleAnnouncement(0, ready)
+	if tracker.HandleProbe(500*time.Millisecond, "b", 20) || tracker.Accepts(500*time.Millisecond) {
+		t.Error("the answer of another instance put the announced one into use")
+	}
+	if !tracker.HandleProbe(500*time.Millisecond, "a", 20) || !tracker.Accepts(500*time.Millisecond) {
+		t.Error("a healthy upstream that announced itself and answered a probe is not in use")
+	}
+	if got := tracker.Current(); got != ready {
+		t.Errorf("the announcement is %+v after the probe, want %+v", got, ready)
+	}
 }
 
 // Announcements of all states arrive late, repeated and reordered around the moment at which
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -233,19 +233,32 @@
 	return a.Sequence <= t.last.Sequence || t.last.State == Deregistered
 }
 
-// HandleProbe records the instance and slots from the response of a healthy upstream to a
-// health probe. It returns false and changes nothing if the upstream is known already, or if
-// the response does not show whether the instance has been started again since it left.
+// HandleProbe records the response of a healthy upstream to a health probe: the upstream is not
+// leaving, and if it is not known yet, the response tells its instance and slots. HandleProbe
+// returns false and changes nothing if it learns neither, or if the response does not show
+// whether the instance has been started again since it left.
 func (t *Tracker) HandleProbe(now time.Duration, instance string, slots int) bool {
-	if t.known || instance == t.departure.Instance {
+	if instance == t.departure.Instance {
 		return false
 	}
-	t.historyKnown = true // a healthy upstream is not leaving
+	if t.known {
+		if !t.awaitsHistory(now) || instance != t.last.Instance {
+			return false
+		}
+		t.historyKnown = true
+		return true
+	}
+	t.historyKnown = true
 	t.last = Announcement{Instance: instance, Service: t.cfg.Service, Address: t.cfg.Address, Slots: slots}
 	t.known, t.lastContact = true, now
 	return true
 }
 
+// NeedsProbe reports whether a health probe can tell more of the upstream: it has neither
+// announced itself nor answered a probe since the last replacement, or it may have left
+// before this node started.
+func (t *Tracker) NeedsProbe(now time.Duration) bool { return !t.known || t.awaitsHistory(now) }
+
 // Known reports whether the upstream has announced itself or answered a probe since
 // the last replacement.
 func (t *Tracker) Known() bool { return t.known }
