Return a departure from a few nodes only

Cause: each node that gets the record of a new incarnation without the departure returned it, over a connection of its own. What one restart costs grew with the fleet.

Evidence: TestFewPeersReturnADeparture failed before, 300 of 300 nodes returned it.

Change: a node returns it with a probability that makes eight returns for each record on average; in fleets of up to eight nodes, each does.

--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -1,5 +1,9 @@
 package roster
 
+// departureReturns is the mean number of nodes that return a departure for one record of the
+// new incarnation. Fleets of fewer nodes return it from each.
+const departureReturns = 8
+
 // Departure is the first announcement by which a start of an upstream said that it leaves.
 // Once the node beside the upstream has acknowledged it, the upstream gets no new work, also
 // if that node starts again and an earlier announcement arrives late. The node therefore
@@ -40,13 +44,13 @@
 }
 
 // keepDeparture keeps the departure of a record in its entry. If the record is that of a new
-// incarnation, which does not know of the departure, it is returned to it.
+// incarnation, which does not know of the departure, some of the nodes return it.
 func (r *Roster) keepDeparture(e *entry, rec *Record) {
 	if !rec.Departure.IsZero() {
 		e.departure = rec.Departure
 		return
 	}
-	if !e.departure.IsZero() {
+	if !e.departure.IsZero() && r.random.Float64()*float64(len(r.entries)) < departureReturns {
 		r.send(rec.Member, News{Records: []Record{{Member: rec.Member, Departure: e.departure}}})
 	}
 }
--- a/internal/roster/departure_test.go
+++ b/internal/roster/departure_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -41,3 +42,38 @@
 		}
 	}
 }
+
+// In a large fleet, a node that starts again must not get its departure back from every node,
+// which would each open a connection for it. Some of them must return it, since messages may
+// be lost.
+func TestFewPeersReturnADeparture(t *testing.T) {
+	const nodes = 300
+	member := func(host string, incarnation mesh.Incarnation) mesh.Member {
+		return mesh.Member{Node: mesh.NodeID{Host: mesh.Host(host), Incarnation: incarnation}, DataCentre: "dc", Service: "web", PeerAddress: host}
+	}
+	before := New(member("a", 1), 5, 1)
+	before.Update(true, func(r *Record) {
+		r.Phase, r.Departure = Leaving, Departure{Instance: "i", StartTime: 100, Sequence: 7}
+	})
+	var known News
+	for i := range nodes {
+		known.Records = append(known.Records, New(member("n"+strconv.Itoa(i), 1), 1, 1).Self())
+	}
+	known.Records = append(known.Records, before.Self())
+	after := New(member("a", 2), 6, 2)
+	returned := 0
+	for i := range nodes {
+		peer := New(member("n"+strconv.Itoa(i), 1), 1, uint64(i))
+		peer.Deliver(0, before.Self().Member.Node, known)
+		peer.Outgoing()
+		peer.Deliver(time.Second, after.Self().Member.Node, News{Records: []Record{after.Self()}})
+		for _, o := range peer.Outgoing() {
+			if news, ok := o.Message.(News); ok && o.To.Node.Host == "a" && len(news.Records) == 1 && !news.Records[0].Departure.IsZero() {
+				returned++
+			}
+		}
+	}
+	if returned == 0 || returned > 4*departureReturns {
+		t.Errorf("%d of %d nodes return the departure, want about %d", returned, nodes, departureReturns)
+	}
+}
