Acknowledge a departure only when the store holds that one

Cause: the wait ended if the store held a newer departure by its start time. Clocks of upstreams may jump back, so that the departure of the upstream before counts as newer; the acknowledgement then went out before the write, and a kill right after it would have lost the departure.

Evidence: TestDepartureIsStoredBeforeItIsAcknowledged failed before with a stored departure of a later start time, and passed without one and with an earlier one.

Change: what the node has written last is what the store holds, whatever the start times. A list counts only as long as this incarnation has written nothing.

--- a/internal/sidecar/departure.go
+++ b/internal/sidecar/departure.go
@@ -85,12 +85,8 @@
 	return nil
 }
 
-// setStoredDeparture records that the store holds the departure or a newer one. n.mu must be
-// held.
+// setStoredDeparture records that the store holds the departure. n.mu must be held.
 func (n *Node) setStoredDeparture(d roster.Departure) {
-	if !d.NewerThan(n.storedDeparture) {
-		return
-	}
 	n.storedDeparture = d
 	close(n.departureStored)
 	n.departureStored = make(chan struct{})
@@ -108,17 +104,18 @@
 	}
 }
 
-// awaitDepartureStored waits until the store holds the departure, so that the node's next
-// incarnation learns of it even if this one and its peers end now. After departureWait, the
-// peers that the departure was sent to must do.
-func (n *Node) awaitDepartureStored(d roster.Departure) {
+// awaitDepartureStored waits until the store holds the departure of the local upstream, so that
+// the node's next incarnation learns of it even if this one and its peers end now. After
+// departureWait, the peers that the departure was sent to must do.
+func (n *Node) awaitDepartureStored() {
 	timer := time.NewTimer(departureWait)
 	defer timer.Stop()
 	for {
 		n.mu.Lock()
-		stored, changed := n.storedDeparture, n.departureStored
+		d, changed := n.tracker.Departure(), n.departureStored
+		stored := n.storedDeparture == d
 		n.mu.Unlock()
-		if stored == d || stored.NewerThan(d) {
+		if stored {
 			return
 		}
 		select {
--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +86,29 @@
 		})
 	}
 }
+
+// The acknowledgement that an upstream leaves must not go out before the store holds it, also
+// if the store holds a departure with a later start time: clocks may jump back.
+func TestDepartureIsStoredBeforeItIsAcknowledged(t *testing.T) {
+	for name, stored := range map[string]string{
+		"none":    "",
+		"earlier": `{"DepartureOf":"a","Departure":{"Instance":"i-before","StartTime":0,"Deregistered":true}}`,
+		"later":   `{"DepartureOf":"a","Departure":{"Instance":"i-before","StartTime":1000,"Deregistered":true}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(shopDeclaration)
+			if stored != "" {
+				s.records["departure/a"] = []byte(stored)
+			}
+			a := startHost(t, s, "a", "web", 8)
+			eventually(t, "the upstream is in use", func() bool { return a.phase() == roster.Ready })
+			a.stopAnnouncing()
+			a.node.HandleAnnouncement(upstream.Announcement{Instance: a.instance, StartTime: 1, State: upstream.Deregistered})
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if got := string(s.records["departure/a"]); !strings.Contains(got, a.instance) {
+				t.Errorf("after the acknowledgement, the store holds the departure %q, want that of %s", got, a.instance)
+			}
+		})
+	}
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -272,7 +272,9 @@
 		case err != nil:
 			n.cfg.Log.Write(eventlog.Observation, "invalid node record skipped", "err", err, "bytes", len(raw))
 		case record.DepartureOf == n.cfg.Self.Node.Host:
-			n.setStoredDeparture(record.Departure)
+			if n.storedDeparture.IsZero() { // else this node has written a later one
+				n.setStoredDeparture(record.Departure)
+			}
 			n.learnDeparture(record.Departure, "store")
 		case record.DepartureOf == "":
 			n.roster.Merge(n.now(), record.Record)
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -42,7 +42,6 @@
 	}
 	n.publishPhase(now)
 	n.requestDepartureWrite()
-	departure := n.tracker.Departure()
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.send(out)
@@ -51,7 +50,7 @@
 			"slots", a.Slots, "sequence", a.Sequence, "born", a.StartTime, "restarted", result.Restarted, "foreign", result.Foreign)
 	}
 	if a.State != upstream.Ready && !result.Foreign {
-		n.awaitDepartureStored(departure)
+		n.awaitDepartureStored()
 	}
 	return !result.Foreign
 }
