--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -256,8 +256,8 @@
 }
 
 // listNodes reads the records of all nodes from the store into the roster, and the departure
-// that an earlier incarnation of this node has acknowledged. From then on, the roster counts as complete: the rate limits and the retry budgets may be divided among
-// its nodes.
+// that an earlier incarnation of this node has acknowledged. From then on, the roster counts
+// as complete: the rate limits and the retry budgets may be divided among its nodes.
 func (n *Node) listNodes() error {
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
