--- a/internal/exchange/memory_test.go
+++ b/internal/exchange/memory_test.go
@@ -36,8 +36,8 @@
 }
 
 // A faulty upstream may answer all requests that run there at once with bytes without end.
-// Each exchange ended soon, but 300 together held up to 190 MB, more than the smallest
-// machine has: parsed header fields take some twenty times the bytes that were sent.
+// Each exchange ended soon, but 300 together held 146 MiB, more than the smallest machine has
+// left for them: a parsed header field takes over a hundred bytes however short it is.
 func TestEndlessHeadsOfManyResponsesTakeLittleMemory(t *testing.T) {
 	const (
 		requests = 300                    // slots of the largest upstreams
