--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -112,3 +112,30 @@
 		})
 	}
 }
+
+// While the store is down, the acknowledgement that an upstream leaves must not wait longer than
+// upstreams do, and the departure must get into the store once it is back.
+func TestDepartureDuringAnOutageOfTheStore(t *testing.T) {
+	const upstreamsWait = time.Second // for an acknowledgement
+	s := newStore(shopDeclaration)
+	a := startHost(t, s, "a", "web", 8)
+	eventually(t, "the upstream is in use", func() bool { return a.phase() == roster.Ready })
+	a.stopAnnouncing()
+	setUnavailable := func(unavailable bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.unavailable[""] = unavailable
+	}
+	setUnavailable(true)
+	began := time.Now()
+	a.node.HandleAnnouncement(upstream.Announcement{Instance: a.instance, StartTime: 1, State: upstream.Deregistered})
+	if elapsed := time.Since(began); elapsed > upstreamsWait {
+		t.Errorf("the acknowledgement took %v, want at most %v", elapsed, upstreamsWait)
+	}
+	setUnavailable(false)
+	eventually(t, "the store holds the departure", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return strings.Contains(string(s.records["departure/a"]), a.instance)
+	})
+}
--- a/internal/sidecar/responses_test.go
+++ b/internal/sidecar/responses_test.go
@@ -304,6 +304,9 @@
 					if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
 						t.Error("a response without end looks complete")
 					}
+					if name == "head" && resp.StatusCode != http.StatusBadGateway {
+						t.Errorf("an order that a head without end answered got status %d, want 502, since it may have run", resp.StatusCode)
+					}
 				})
 			}
 			for i := range 10 {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -99,3 +101,65 @@
 	wg.Wait()
 	<-stopped
 }
+
+// setStop makes the node appear to have begun a stop some time ago that ends after the time left.
+func (h *host) setStop(elapsed, left time.Duration) {
+	now := h.node.now()
+	h.node.stopBegan.Store(int64(now - elapsed))
+	h.node.stopEnds.Store(int64(now + left))
+	h.node.stopping.Store(true)
+}
+
+// A call of the local upstream that its service answers slowly was accepted shortly before the
+// exit, which aborted it. What such calls took lately must decide, not the target of the route.
+func TestSlowCallsLateInAStop(t *testing.T) {
+	const left = 1300 * time.Millisecond // enough for a call of unknown duration, which may take two seconds
+	for _, test := range []struct {
+		work time.Duration // of an earlier call
+		want int
+	}{
+		{0, http.StatusOK},
+		{left, http.StatusServiceUnavailable},
+	} {
+		_, a, _, c := startSmallMesh(t)
+		c.setHandler(func(h *host, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(test.work)
+			fmt.Fprint(w, h.instance)
+		})
+		if got := a.call("earlier", "GET", "/feed/1", "", ""); got.status != http.StatusOK {
+			t.Fatalf("a call before the stop got status %d, error %v", got.status, got.err)
+		}
+		c.setHandler(nil)
+		a.setStop(shutdown.RefusalAfter+time.Second, left)
+		if got := a.call("late", "GET", "/feed/1", "", ""); got.status != test.want {
+			t.Errorf("after a call of %v, a call %v before the end of the stop got status %d, want %d", test.work, left, got.status, test.want)
+		}
+	}
+}
+
+// An order whose caller sends its body slowly was accepted before the stop, but its body ends
+// when too little time is left. It must be refused, not passed on and aborted.
+func TestOrderWithASlowBodyDuringAStop(t *testing.T) {
+	_, a, b, _ := startSmallMesh(t)
+	conn, err := net.Dial("tcp", a.callerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: shop\r\n%s: slow\r\n%s: k1\r\nContent-Length: 1\r\n\r\n", dialect.RequestID, dialect.Key)
+	eventually(t, "the node reads the order", func() bool { return a.node.openRequests.Load() > 0 })
+	time.Sleep(100 * time.Millisecond) // until it waits for the body
+	a.setStop(shutdown.NoticeTime+time.Second, time.Second)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if runs := a.runCount("slow") + b.runCount("slow"); response.StatusCode != http.StatusServiceUnavailable || runs > 0 {
+		t.Errorf("the order ran %d times and got status %d, want 503 without a run", runs, response.StatusCode)
+	}
+}
