Decide in one place what a stopping node accepts from peers

Cause: the rule that peers know of a stop after 1.9 s stood in the serving path, beside the decision of internal/shutdown, and the time since the stop was derived by a function of its own beside Node.since. The package said takes, passes on and local where the rest of the code says accepts, forwards and nested.

Change: shutdown.AcceptsFromPeer holds the rule, with the delay of the announcement; stoppingFor and takesFromPeer are gone; the words are those of the callers. Three handlers of tests are one. No value and no decision changes.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -1,4 +1,4 @@
-// Package shutdown decides which requests a node still takes while it shuts down.
+// Package shutdown decides which requests a node still accepts while it shuts down.
 //
 // Load pattern: requests keep arriving until the process exits. Callers have to learn of the
 // shutdown first, some have no other node to go to, and the local upstream makes calls for
@@ -11,14 +11,20 @@
 
 const (
 	// NoticeTime is the time from the start of a shutdown in which callers and the platform
-	// learn of it. Until then, requests are taken as before.
+	// learn of it. Until then, requests are accepted as before.
 	NoticeTime = time.Second
 	// RefusalAfter is the time from the start of a shutdown after which requests of callers
 	// are refused, so that the node becomes idle.
 	RefusalAfter = 2800 * time.Millisecond
-	// LocalMargin is the least time between the expected end of a call of the local upstream
+	// AnnounceAfter is the time from the start of a shutdown after which the node announces it
+	// to its peers. They send no requests to the local upstream from then on, although it still
+	// runs, so the delay keeps the upstream in use while callers are still leaving.
+	AnnounceAfter = 1600 * time.Millisecond
+	// gossipDelay is the time in which the announcement reaches all peers.
+	gossipDelay = 300 * time.Millisecond
+	// NestedMargin is the least time between the expected end of a call of the local upstream
 	// and the exit.
-	LocalMargin = 200 * time.Millisecond
+	NestedMargin = 200 * time.Millisecond
 )
 
 // Progress is the state of a shutdown.
@@ -27,25 +33,25 @@
 	Left    time.Duration // until requests in flight are aborted
 }
 
-// Request is what is known of a request when it is to be taken or passed on.
+// Request is what is known of a request when it is to be accepted or forwarded.
 type Request struct {
 	Limit      time.Duration // until its deadline
 	Expected   time.Duration // the time that requests like it take
 	Idempotent bool
-	// Local is set if the local upstream may have made the request on behalf of one that it
+	// Nested is set if the local upstream may have made the request on behalf of one that it
 	// runs, which fails if this one is refused.
-	Local bool
+	Nested bool
 }
 
 // endsInTime reports whether the request ends before the exit even if it takes until its
 // deadline.
 func (r Request) endsInTime(p Progress) bool { return r.Limit <= p.Left }
 
-// Takes reports whether a request that has just arrived is taken. The caller of a request
+// Accepts reports whether a request that has just arrived from a caller is accepted. The caller of a request
 // that is not idempotent may not send it again once it has been aborted, so such a request
 // must be certain to end in time, whoever sent it. For a call of the local upstream that is
 // idempotent, the expected time decides, since a refusal costs as much as an aborted call.
-func Takes(p Progress, r Request) bool {
+func Accepts(p Progress, r Request) bool {
 	switch {
 	case p.Left <= 0:
 		return false
@@ -55,14 +61,20 @@
 		return false
 	case p.Elapsed <= RefusalAfter:
 		return true
-	case r.Local:
-		return r.endsInTime(p) || r.Expected+LocalMargin <= p.Left
+	case r.Nested:
+		return r.endsInTime(p) || r.Expected+NestedMargin <= p.Left
 	}
 	return false
 }
 
-// PassesOn reports whether a request that was taken and whose body has been read since is
+// AcceptsFromPeer reports whether a request that a peer has forwarded is accepted. Once all
+// peers know of the shutdown, none is.
+func AcceptsFromPeer(p Progress, r Request) bool {
+	return p.Elapsed <= AnnounceAfter+gossipDelay && Accepts(p, r)
+}
+
+// Forwards reports whether a request that was accepted and whose body has been read since is
 // sent to an upstream: a caller may take seconds to send a body.
-func PassesOn(p Progress, r Request) bool {
+func Forwards(p Progress, r Request) bool {
 	return p.Elapsed <= NoticeTime || r.Idempotent || r.endsInTime(p)
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -15,28 +15,28 @@
 	const exit = 5100 * ms
 	for _, work := range []time.Duration{20 * ms, 300 * ms, 800 * ms, 3 * time.Second} {
 		for _, limit := range []time.Duration{400 * ms, 1480 * ms, 4980 * ms} {
-			for _, local := range []bool{false, true} {
+			for _, nested := range []bool{false, true} {
 				for _, idempotent := range []bool{false, true} {
-					lastTaken := time.Duration(-1)
+					lastAccepted := time.Duration(-1)
 					for arrival := time.Duration(0); arrival < 6*time.Second; arrival += 10 * ms {
 						p := Progress{Elapsed: arrival, Left: exit - arrival}
-						if !Takes(p, Request{Limit: limit, Expected: work, Idempotent: idempotent, Local: local}) {
+						if !Accepts(p, Request{Limit: limit, Expected: work, Idempotent: idempotent, Nested: nested}) {
 							continue
 						}
-						lastTaken = arrival
+						lastAccepted = arrival
 						end := arrival + min(work, limit)
 						switch {
 						case arrival <= NoticeTime:
 						case !idempotent && arrival+limit > exit:
-							t.Errorf("order with limit %v taken at %v (local: %v)", limit, arrival, local)
+							t.Errorf("order with limit %v accepted at %v (nested: %v)", limit, arrival, nested)
 						case arrival > RefusalAfter && end > exit:
-							t.Errorf("request with limit %v and work %v taken at %v (local: %v, idempotent: %v)", limit, work, arrival, local, idempotent)
-						case arrival > RefusalAfter && !local:
-							t.Errorf("request of a caller with limit %v taken at %v", limit, arrival)
+							t.Errorf("request with limit %v and work %v accepted at %v (nested: %v, idempotent: %v)", limit, work, arrival, nested, idempotent)
+						case arrival > RefusalAfter && !nested:
+							t.Errorf("request of a caller with limit %v accepted at %v", limit, arrival)
 						}
 					}
-					if local && idempotent && lastTaken < exit-min(limit, work+LocalMargin)-10*ms {
-						t.Errorf("calls with limit %v and work %v are refused from %v on, although they would end before %v", limit, work, lastTaken, exit)
+					if nested && idempotent && lastAccepted < exit-min(limit, work+NestedMargin)-10*ms {
+						t.Errorf("calls with limit %v and work %v are refused from %v on, although they would end before %v", limit, work, lastAccepted, exit)
 					}
 				}
 			}
@@ -44,16 +44,35 @@
 	}
 }
 
-// Once a node that was idle has begun to exit, it may take no request at all.
-func TestNothingIsTakenAfterTheEnd(t *testing.T) {
-	for _, r := range []Request{{Limit: 0, Idempotent: true}, {Limit: 0, Idempotent: true, Local: true}, {Limit: 0}} {
-		if Takes(Progress{Elapsed: 600 * ms, Left: 0}, r) {
-			t.Errorf("request %+v is taken with no time left", r)
+// Once the time for requests in flight is over, no request may be accepted, also early in a
+// shutdown that has little time.
+func TestNothingIsAcceptedAfterTheEnd(t *testing.T) {
+	for _, r := range []Request{{Limit: 0, Idempotent: true}, {Limit: 0, Idempotent: true, Nested: true}, {Limit: 0}} {
+		if Accepts(Progress{Elapsed: 600 * ms, Left: 0}, r) {
+			t.Errorf("request %+v is accepted with no time left", r)
 		}
 	}
 }
 
-// An order whose caller sends its body slowly was taken early in the shutdown, but would reach
+// Peers learn of a shutdown from its announcement on. Until they do, what could end in time must
+// be accepted, and an order that could not must be refused so that it runs elsewhere.
+func TestRequestsOfPeers(t *testing.T) {
+	const exit = 5100 * ms
+	order, read := Request{Limit: 4980 * ms}, Request{Limit: 4980 * ms, Idempotent: true}
+	short := Request{Limit: 400 * ms}
+	for elapsed := time.Duration(0); elapsed < exit; elapsed += 10 * ms {
+		p := Progress{Elapsed: elapsed, Left: exit - elapsed}
+		known := elapsed > AnnounceAfter+gossipDelay
+		if got, want := AcceptsFromPeer(p, order), elapsed <= NoticeTime; got != want {
+			t.Errorf("%v after the start, a long order is accepted: %v, want %v", elapsed, got, want)
+		}
+		if AcceptsFromPeer(p, read) == known || AcceptsFromPeer(p, short) == known {
+			t.Errorf("%v after the start, a read is accepted: %v, and a short order: %v; want both %v", elapsed, AcceptsFromPeer(p, read), AcceptsFromPeer(p, short), !known)
+		}
+	}
+}
+
+// An order whose caller sends its body slowly was accepted early in the shutdown, but would reach
 // an upstream when too little time is left.
 func TestSlowBody(t *testing.T) {
 	order := Request{Limit: 2 * time.Second}
@@ -67,7 +86,7 @@
 		{3200 * ms, order, false},
 		{3200 * ms, Request{Limit: 2 * time.Second, Idempotent: true}, true},
 	} {
-		if got := PassesOn(Progress{Elapsed: test.elapsed, Left: 5100*ms - test.elapsed}, test.request); got != test.want {
+		if got := Forwards(Progress{Elapsed: test.elapsed, Left: 5100*ms - test.elapsed}, test.request); got != test.want {
 			t.Errorf("%v after the start, %+v is passed on: %v, want %v", test.elapsed, test.request, got, test.want)
 		}
 	}
--- a/internal/sidecar/departure.go
+++ b/internal/sidecar/departure.go
@@ -67,7 +67,7 @@
 	n.mu.Lock()
 	d := n.tracker.Departure()
 	n.mu.Unlock()
-	record, err := json.Marshal(struct {
+	record, err := json.Marshal(struct { // a storedRecord without the fields of a node
 		DepartureOf mesh.Host
 		Departure   roster.Departure
 	}{n.cfg.Self.Node.Host, d})
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -109,7 +109,7 @@
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
-	if p, ok := n.stopProgress(); ok && !shutdown.Takes(p, c.stopRequest()) {
+	if p, ok := n.stopProgress(); ok && !shutdown.Accepts(p, c.stopRequest()) {
 		return n.stopRefusal(p), false
 	}
 	if limit := c.catalog.Limits.MaxBody; limit > 0 && c.r.ContentLength > limit {
@@ -118,12 +118,12 @@
 	return c.admit()
 }
 
-// stopRequest describes the request to the decision on what a stopping node takes. Calls of a
+// stopRequest describes the request to the decision on what a stopping node accepts. Calls of a
 // route without recent ones are expected to take its target latency.
 func (c *call) stopRequest() shutdown.Request {
 	n := c.node
 	now := n.now()
-	r := shutdown.Request{Limit: c.deadline - now, Idempotent: c.route.Idempotent, Local: c.nested}
+	r := shutdown.Request{Limit: c.deadline - now, Idempotent: c.route.Idempotent, Nested: c.nested}
 	if !c.nested {
 		return r
 	}
@@ -214,7 +214,7 @@
 		c.refuse(c.node.refusal(outcome.NotRun, outcome.CallerGone, err.Error()))
 		return
 	}
-	if p, ok := c.node.stopProgress(); ok && !shutdown.PassesOn(p, c.stopRequest()) {
+	if p, ok := c.node.stopProgress(); ok && !shutdown.Forwards(p, c.stopRequest()) {
 		c.refuse(c.node.stopRefusal(p))
 		return
 	}
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -8,6 +8,7 @@
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/roster"
+	"cardamomhatch/internal/shutdown"
 	"cardamomhatch/internal/upstream"
 )
 
@@ -150,14 +151,14 @@
 	}
 	n.stopping.Store(true)
 	n.cfg.Log.Write(eventlog.Lifecycle, "stopping", "open", n.openRequests.Load())
-	sleepContext(ctx, announceStopDelay)
+	sleepContext(ctx, shutdown.AnnounceAfter)
 	n.mu.Lock()
 	n.roster.Update(true, func(r *roster.Record) { r.Stopping = true })
 	out := n.roster.Outgoing()
 	n.setMembers(n.now())
 	n.mu.Unlock()
 	n.send(out)
-	n.drainRequests(ctx, n.now()+minStopTime-announceStopDelay)
+	n.drainRequests(ctx, n.now()+minStopTime-shutdown.AnnounceAfter)
 	n.mu.Lock()
 	out = n.roster.Leave()
 	n.mu.Unlock()
@@ -171,11 +172,6 @@
 	// flight, and no earlier than minStopTime after the start of the stop.
 	quietPeriod = 300 * time.Millisecond
 	minStopTime = 2500 * time.Millisecond
-	// announceStopDelay is how long a stopping node waits before it announces the stop
-	// to its peers. Once the peers know of the stop, they send no requests to the local
-	// upstream although it still runs, so the delay keeps the upstream in use while
-	// callers are still leaving.
-	announceStopDelay = 1600 * time.Millisecond
 	// shutdownTimeout limits the wait for requests in flight when the listeners close.
 	shutdownTimeout = 300 * time.Millisecond
 )
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -415,7 +415,7 @@
 	if got := a.call("late", "GET", "/read/1", "k1", ""); got.status != 200 || !got.closes {
 		t.Errorf("a new request got status %d, connection closes: %v; want 200 and true", got.status, got.closes)
 	}
-	time.Sleep(announceStopDelay + 200*time.Millisecond - a.node.stoppingFor())
+	time.Sleep(shutdown.AnnounceAfter + 200*time.Millisecond - a.node.since(&a.node.stopBegan))
 	if got := c.call("other", "GET", "/read/1", "k1", ""); got.status != 200 || a.runCount("other") > 0 {
 		t.Errorf("a request at another node got status %d (%v) and ran %d times at the upstream of the stopping node, want 200 and none", got.status, got.header, a.runCount("other"))
 	}
@@ -456,7 +456,7 @@
 		{shutdown.NoticeTime + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/read/1", "k1", http.StatusOK},
 		{shutdown.RefusalAfter + 500*time.Millisecond, 6 * time.Second, "GET", "/read/1", "k1", http.StatusServiceUnavailable},
 		{shutdown.RefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "GET", "/feed/1", "", http.StatusOK},
-		{shutdown.RefusalAfter + 500*time.Millisecond, shutdown.LocalMargin / 2, "GET", "/feed/1", "", http.StatusServiceUnavailable},
+		{shutdown.RefusalAfter + 500*time.Millisecond, shutdown.NestedMargin / 2, "GET", "/feed/1", "", http.StatusServiceUnavailable},
 		{shutdown.RefusalAfter + 500*time.Millisecond, 1500 * time.Millisecond, "POST", "/notify/1", "", http.StatusOK},
 		{shutdown.RefusalAfter + 500*time.Millisecond, 500 * time.Millisecond, "POST", "/notify/1", "", http.StatusServiceUnavailable},
 		{shutdown.NoticeTime + 500*time.Millisecond, 500 * time.Millisecond, "POST", "/notify/1", "", http.StatusServiceUnavailable},
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -371,7 +371,7 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
-	if p, ok := n.stopProgress(); ok && !n.takesFromPeer(p, &h) {
+	if p, ok := n.stopProgress(); ok && !shutdown.AcceptsFromPeer(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent}) {
 		n.writePeerRefusal(w, h.Route, n.stopRefusal(p))
 		return
 	}
@@ -384,29 +384,19 @@
 	n.relayToPeer(w, req, result)
 }
 
-// takesFromPeer reports whether a stopping node takes a request that a peer has forwarded. Once
-// the stop has been announced long enough ago for all peers to know, it takes none.
-func (n *Node) takesFromPeer(p shutdown.Progress, h *hop) bool {
-	const gossipDelay = 300 * time.Millisecond // time for gossip to reach all peers
-	if p.Elapsed > announceStopDelay+gossipDelay {
-		return false
-	}
-	return shutdown.Takes(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent})
-}
-
 // stopProgress returns the state of the stop; ok is false if the node is not stopping.
 func (n *Node) stopProgress() (p shutdown.Progress, ok bool) {
 	if !n.stopping.Load() {
 		return p, false
 	}
-	p = shutdown.Progress{Elapsed: n.stoppingFor(), Left: math.MaxInt64}
+	p = shutdown.Progress{Elapsed: n.since(&n.stopBegan), Left: math.MaxInt64}
 	if ends := time.Duration(n.stopEnds.Load()); ends > 0 {
 		p.Left = ends - n.now()
 	}
 	return p, true
 }
 
-// stopRefusal returns the refusal of a request that a stopping node does not take.
+// stopRefusal returns the refusal of a request that a stopping node does not accept.
 func (n *Node) stopRefusal(p shutdown.Progress) outcome.Refusal {
 	detail := "the node stops"
 	if p.Left < math.MaxInt64 {
@@ -415,15 +405,6 @@
 	return n.refusal(outcome.NotRun, outcome.Draining, detail)
 }
 
-// stoppingFor returns the time since the stop began, or zero if the node is not
-// stopping.
-func (n *Node) stoppingFor() time.Duration {
-	if !n.stopping.Load() {
-		return 0
-	}
-	return n.now() - time.Duration(n.stopBegan.Load())
-}
-
 // writePeerRefusal sends a refusal and the state of this node to a peer.
 func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
 	w.Header()[loadHeader] = []string{n.report(route).encode()}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -13,6 +13,14 @@
 	"cardamomhatch/internal/shutdown"
 )
 
+// respondAfter returns a handler of an upstream that works for the given time.
+func respondAfter(work time.Duration) func(*host, http.ResponseWriter, *http.Request) {
+	return func(h *host, w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		fmt.Fprint(w, h.instance)
+	}
+}
+
 // An order without a key on a route that needs none cannot be told from a call of the local
 // upstream. It was accepted until 200 ms before the end of a stop, run by an upstream, and
 // aborted by the exit without an answer.
@@ -24,10 +32,7 @@
 	)
 	_, a, b, _ := startSmallMesh(t)
 	for _, h := range []*host{a, b} {
-		h.setHandler(func(h *host, w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(work)
-			fmt.Fprint(w, h.instance)
-		})
+		h.setHandler(respondAfter(work))
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -75,10 +80,7 @@
 	)
 	_, a, b, c := startSmallMesh(t)
 	for _, h := range []*host{a, b} {
-		h.setHandler(func(h *host, w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(work)
-			fmt.Fprint(w, h.instance)
-		})
+		h.setHandler(respondAfter(work))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -122,10 +124,7 @@
 		{left, http.StatusServiceUnavailable},
 	} {
 		_, a, _, c := startSmallMesh(t)
-		c.setHandler(func(h *host, w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(test.work)
-			fmt.Fprint(w, h.instance)
-		})
+		c.setHandler(respondAfter(test.work))
 		if got := a.call("earlier", "GET", "/feed/1", "", ""); got.status != http.StatusOK {
 			t.Fatalf("a call before the stop got status %d, error %v", got.status, got.err)
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -304,10 +304,10 @@
 	switch {
 	case !t.known, t.silent(now), t.down:
 		return roster.Absent
-	case !t.leaving() && t.awaitsHistory(now):
-		return roster.Absent
 	case t.leaving():
 		return roster.Leaving
+	case t.awaitsHistory(now):
+		return roster.Absent
 	}
 	return roster.Ready
 }
