Log which nodes read the declaration and how old their knowledge is

Change: a line when a node begins and ceases to read, with its rank and the age of its knowledge; metrics declaration.age_ms and store.reader_rank. No change of a decision. TestReadersOfTheDeclarationAreReported fails without the change (no host is logged as reader, metrics missing) and passes with it.

--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -182,6 +182,8 @@
 	gauge("gate.limit", int64(n.gate.Limit()))
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
 	gauge("roster.nodes", int64(n.roster.Len(now)))
+	gauge("store.reader_rank", int64(n.roster.ReaderRank()))
+	gauge("declaration.age_ms", n.roster.DeclarationAge(now).Milliseconds())
 	gauge("upstream.announced_ms", n.tracker.Age(now).Milliseconds())
 	n.mu.Unlock()
 	gauge("requests.open", n.openRequests.Load())
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -39,10 +39,15 @@
 func (n *Node) followDeclaration() {
 	planner := watch.NewPlanner(n.cfg.Seed)
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
-	storeLost := false
+	storeLost, reading := false, false
 	for {
 		cursor, view := n.readState()
 		plan := planner.Next(view)
+		if reads := plan.Delay == 0; reads != reading {
+			reading = reads
+			n.cfg.Log.Write(eventlog.Observation, "reader of the declaration", "reads", reads, "rank", view.Rank,
+				"age_ms", view.Age.Milliseconds(), "declaration", n.declarationVersion())
+		}
 		if plan.Delay > 0 {
 			if !n.pause(plan.Delay) {
 				return
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -267,6 +267,31 @@
 	}
 }
 
+// An operator must be able to tell on which nodes a data centre relies for new declarations,
+// and how old their knowledge is.
+func TestReadersOfTheDeclarationAreReported(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	time.Sleep(2 * time.Second) // until the readers follow the declaration
+	for _, h := range []*host{a, b, c} {
+		reads := false
+		for _, line := range h.log.lines() {
+			if line["msg"] == "reader of the declaration" {
+				reads = line["reads"] == true
+			}
+		}
+		if want := h.readerRank() < 2; reads != want {
+			t.Errorf("%s is logged as reader: %v, want %v", h.node.cfg.Self.Node.Host, reads, want)
+		}
+		recorder := httptest.NewRecorder()
+		h.node.serveMetrics(recorder, nil)
+		for _, line := range []string{"declaration.age_ms ", fmt.Sprintf("store.reader_rank %d\n", h.readerRank())} {
+			if !strings.Contains(recorder.Body.String(), line) {
+				t.Errorf("the metrics of %s lack %q", h.node.cfg.Self.Node.Host, line)
+			}
+		}
+	}
+}
+
 // A declaration must be in force within 3 s everywhere although the store has silently
 // dropped the open reads of all nodes, so that no peer has the declaration either.
 func TestDeclarationAfterAllOpenReadsWereLost(t *testing.T) {
