Show that a store which answers no reader hides declarations from the nodes that it answers

Cause: only readers follow the declaration. If the store answers none of them, the nodes that it does answer read when all knowledge is 3 s old, once, and again 3 s after that answer.

--- a/internal/roster/scale_test.go
+++ b/internal/roster/scale_test.go
@@ -17,6 +17,7 @@
 	followers map[mesh.Host]*follower
 	version   uint64                  // of the newest declaration at the store
 	refused   func(h mesh.Host) bool  // whether the store turns the host away
+	silent    func(h mesh.Host) bool  // whether the store answers no read of the host, not even one that is open
 	reads     int                     // that were started
 	cuts      map[mesh.DataCentre]int // data centres with different numbers cannot reach each other
 	bytes     int                     // of all messages sent
@@ -46,7 +47,7 @@
 func newFleet(nodes, dataCentres int) *fleet {
 	f := &fleet{
 		network: newNetwork(0, 1), followers: map[mesh.Host]*follower{}, version: 1,
-		refused: func(mesh.Host) bool { return false }, cuts: map[mesh.DataCentre]int{},
+		refused: func(mesh.Host) bool { return false }, silent: func(mesh.Host) bool { return false }, cuts: map[mesh.DataCentre]int{},
 	}
 	f.encoder = gob.NewEncoder(&f.encoded)
 	for i := range nodes {
@@ -108,6 +109,7 @@
 func (f *fleet) finishRead(host mesh.Host, s *follower) {
 	r := f.rosters[host]
 	elapsed := f.now - s.opened
+	s.lost = s.lost || f.silent(host)
 	switch {
 	case s.lost && elapsed >= s.plan.Limit():
 		s.planner.Unanswered()
