Let another node read in place of readers that the store does not answer

Callers saw: a new route was refused with 404 and a withdrawn route or key still served over 2.5 s after the change was acknowledged, at nodes of all data centres, while the store answered few nodes.

Cause: who reads is decided by rank alone, not by whom the store answers. With all readers unanswered, the others read when all knowledge was 3 s old, and the answer to one such read made it fresh again, so that a node which the store answered all the time read once in 3 s. An outage was also found out too late: a read waits for 2 s and 0.7 s.

A reader that is not answered tells its data centre; 20 more nodes read once, and the first one that is answered reads in place of the readers and tells of each answer, until a reader is answered again. Silence or loss of that node starts the search again. The messages carry a number that only grows, no times, so a late one changes nothing.

The simulated fleet repeats refused reads with the pause of the product, as it did before; no bound changed.

--- a/internal/roster/declaration.go
+++ b/internal/roster/declaration.go
@@ -52,9 +52,12 @@
 	return now - d.learnedAt
 }
 
-// announcement returns a digest that announces the declaration only.
+// announcement returns a digest without the hash of the records.
 func (r *Roster) announcement(now time.Duration) Digest {
-	d := Digest{From: r.self.Member, Version: r.declaration.version, Confirmed: r.declaration.confirmed}
+	d := Digest{
+		From: r.self.Member, Version: r.declaration.version, Confirmed: r.declaration.confirmed,
+		ReadRound: r.reads.round, Substitute: r.reads.substitute,
+	}
 	if d.Confirmed {
 		d.Age = now - r.declaration.confirmedAt
 	}
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -16,6 +16,9 @@
 	Version   uint64
 	Age       time.Duration
 	Confirmed bool
+	// ReadRound and Substitute are the sender's readState, for nodes of its data centre.
+	ReadRound  uint64
+	Substitute mesh.Host
 	// Claim and Entries are those of a node of an earlier version, whose digests list all
 	// records, or are sent to one.
 	Claim   uint64
@@ -124,6 +127,7 @@
 // records differ.
 func (r *Roster) handleDigest(now time.Duration, d Digest) {
 	r.compareDeclaration(now, d)
+	r.compareReadState(now, d)
 	if len(d.Entries) > 0 {
 		r.answerListingDigest(now, d)
 		return
--- a/internal/roster/readers_test.go
+++ b/internal/roster/readers_test.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// loseSubstitutes ends the nodes that read in place of the readers.
+func (o *partialOutage) loseSubstitutes() {
+	for host, r := range o.rosters {
+		if r.IsSubstitute() {
+			o.down[host] = true
+			delete(o.servedSince, host)
+		}
+	}
+}
+
 // declare declares versions at random moments for the given time and watches the nodes that
 // the store answers.
 func (o *partialOutage) declare(length time.Duration) {
@@ -99,7 +109,7 @@
 	}{
 		{16, 3, 0.1, 8}, {16, 3, 0.6, 8}, {28, 4, 0.05, 8}, {28, 4, 0.5, 8}, {88, 4, 0.05, 2}, {95, 3, 0.1, 2},
 	} {
-		for _, kind := range []string{"silent", "refused", "silent to others after 4 s"} {
+		for _, kind := range []string{"silent", "refused", "silent to others after 4 s", "substitutes lost after 4 s"} {
 			t.Run(fmt.Sprintf("%d nodes, %v served, %s", c.nodes, c.served, kind), func(t *testing.T) {
 				t.Parallel()
 				for seed := range c.seeds {
@@ -114,8 +124,11 @@
 					}
 					o.begin()
 					o.declare(4 * time.Second)
-					if kind == "silent to others after 4 s" {
+					switch kind {
+					case "silent to others after 4 s":
 						o.begin()
+					case "substitutes lost after 4 s":
+						o.loseSubstitutes()
 					}
 					o.declare(6 * time.Second)
 					if len(o.lateHosts) > 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -136,6 +136,7 @@
 	random              *rand.Rand
 	nextDigest          time.Duration // when the next digest is due
 	declaration         declarationState
+	reads               readState
 	changed             bool          // result of the next call of Changed
 	synced              bool          // records from a peer or the store have arrived
 	lastMessage         time.Duration // arrival of the last message from a peer
--- a/internal/roster/scale_test.go
+++ b/internal/roster/scale_test.go
@@ -36,6 +36,7 @@
 	opened  time.Duration // when the open read began
 	plan    watch.Read
 	view    watch.View
+	delayed bool // the node does not read because of its plan, rather than after a failed read
 }
 
 const storeLatency = 4 * time.Millisecond
@@ -91,13 +92,16 @@
 			f.finishRead(host, s)
 			continue
 		}
-		if f.now < s.idle {
+		doubt, doubtAge := r.Doubt(f.now)
+		if f.now < s.idle && !(s.delayed && doubt != s.view.Doubt) {
 			continue
 		}
-		s.view = watch.View{First: s.known == 0, Uptime: f.now, Rank: r.ReaderRank(), Isolated: r.Isolated(f.now), Age: r.DeclarationAge(f.now)}
+		s.view = watch.View{First: s.known == 0, Uptime: f.now, Rank: r.ReaderRank(), Isolated: r.Isolated(f.now), Age: r.DeclarationAge(f.now), Substitute: r.IsSubstitute()}
+		s.view.Doubt, s.view.DoubtAge = doubt, doubtAge
 		s.plan = s.planner.Next(s.view)
-		if s.plan.Delay > 0 {
+		if s.delayed = s.plan.Delay > 0; s.delayed {
 			s.idle = f.now + s.plan.Delay
+			r.StopReading()
 			continue
 		}
 		f.reads++
@@ -113,11 +117,11 @@
 	switch {
 	case s.lost && elapsed >= s.plan.Limit():
 		s.planner.Unanswered()
-		s.open, s.idle = false, f.now+watch.ErrorPause(s.view)
+		f.failRead(host, s, watch.ErrorPause(s.view))
 	case s.lost || elapsed < storeLatency:
 	case f.refused(host):
 		s.planner.Answered()
-		s.open, s.idle = false, f.now+max(watch.ErrorPause(s.view), 500*time.Millisecond)
+		f.failRead(host, s, max(watch.RefusalPause(s.view), 500*time.Millisecond))
 	case f.version > s.known || elapsed >= s.plan.Wait:
 		s.planner.Answered()
 		s.open = false
@@ -130,10 +134,24 @@
 			r.SetDeclarationVersion(f.now, f.version)
 		}
 		r.ConfirmDeclaration(f.now)
+		r.ReadAnswered(f.now)
 		f.send(host, r.Outgoing())
 	}
 }
 
+// failRead ends a read that the store did not answer or refused.
+func (f *fleet) failRead(host mesh.Host, s *follower, pause time.Duration) {
+	s.open, s.idle = false, f.now
+	if s.plan.Check {
+		return
+	}
+	s.idle += pause
+	if !s.view.First {
+		f.rosters[host].ReadFailed(f.now)
+		f.send(host, f.rosters[host].Outgoing())
+	}
+}
+
 // start lets all nodes list each other and runs until they have settled.
 func (f *fleet) start() {
 	f.mergeFromStore()
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -46,10 +46,10 @@
 		if reads := plan.Delay == 0; reads != reading {
 			reading = reads
 			n.cfg.Log.Write(eventlog.Observation, "reader of the declaration", "reads", reads, "rank", view.Rank,
-				"age_ms", view.Age.Milliseconds(), "declaration", n.declarationVersion())
+				"substitute", view.Substitute, "doubt", view.Doubt, "age_ms", view.Age.Milliseconds(), "declaration", n.declarationVersion())
 		}
 		if plan.Delay > 0 {
-			if !n.pause(plan.Delay) {
+			if !n.waitToRead(plan.Delay) {
 				return
 			}
 			continue
@@ -62,20 +62,23 @@
 			n.logStoreLost(err)
 		}
 		storeLost = storeLost || err != nil
-		if errors.Is(err, context.DeadlineExceeded) {
-			planner.Unanswered()
-			if !n.pause(watch.ErrorPause(view)) { // no backoff, because this read took long enough
-				return
-			}
-			continue
-		}
-		planner.Answered()
 		if err != nil {
-			if !n.pause(max(watch.ErrorPause(view), backoff.Next())) {
-				return
+			pause := watch.ErrorPause(view) // no backoff, because this read took long enough
+			if errors.Is(err, context.DeadlineExceeded) {
+				planner.Unanswered()
+			} else {
+				planner.Answered()
+				pause = max(watch.RefusalPause(view), backoff.Next())
+			}
+			if !plan.Check {
+				n.reportFailedRead(view)
+				if !n.pause(pause) {
+					return
+				}
 			}
 			continue
 		}
+		planner.Answered()
 		if storeLost {
 			n.cfg.Log.Write(eventlog.Lifecycle, "store regained", "declaration", n.declarationVersion(),
 				"answered_ms", n.since(&n.storeAnswered).Milliseconds())
@@ -88,7 +91,7 @@
 		if raw != nil {
 			n.applyDeclaration(roster.Declaration{Raw: raw}, "store", "")
 		}
-		n.confirmDeclaration(answered)
+		n.reportAnsweredRead(answered)
 		if raw != nil && !n.pause(minReadInterval) {
 			return
 		}
@@ -100,8 +103,44 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	return n.cursor, watch.View{
+	view := watch.View{
 		First: !n.cursor.Known, Uptime: now, Rank: n.roster.ReaderRank(), Isolated: n.roster.Isolated(now), Age: n.roster.DeclarationAge(now),
+		Substitute: n.roster.IsSubstitute(),
+	}
+	view.Doubt, view.DoubtAge = n.roster.Doubt(now)
+	return n.cursor, view
+}
+
+// waitToRead waits for d, or until the data centre is in another doubt. It returns false if the
+// node shuts down first.
+func (n *Node) waitToRead(d time.Duration) bool {
+	n.mu.Lock()
+	n.roster.StopReading()
+	n.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.doubts:
+	case <-n.runCtx.Done():
+		return false
+	}
+	return true
+}
+
+// wakeReader ends waitToRead if the data centre is in another doubt than at the last call. n.mu
+// must be held.
+func (n *Node) wakeReader(now time.Duration) {
+	doubt, _ := n.roster.Doubt(now)
+	if doubt == n.lastDoubt {
+		return
+	}
+	n.lastDoubt = doubt
+	if doubt > 0 {
+		select {
+		case n.doubts <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -116,13 +155,29 @@
 	n.cursor = next
 }
 
-// confirmDeclaration records that the store held no newer declaration at the given time.
-func (n *Node) confirmDeclaration(at time.Duration) {
+// reportAnsweredRead tells the peers of a read that the store answered. It held no newer
+// declaration at the given time.
+func (n *Node) reportAnsweredRead(at time.Duration) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.current.Load() != nil {
 		n.roster.ConfirmDeclaration(at)
 	}
+	n.roster.ReadAnswered(n.now())
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
+}
+
+// reportFailedRead tells the peers of a read that the store did not answer.
+func (n *Node) reportFailedRead(view watch.View) {
+	if view.First {
+		return // nobody relies on this node yet
+	}
+	n.mu.Lock()
+	n.roster.ReadFailed(n.now())
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
 }
 
 // readDeclaration makes one read of the declaration. The error is or wraps
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -41,14 +41,15 @@
 	declaration func(version uint64) catalog.Declaration
 	changed     chan struct{}         // closed when a new version is stored
 	records     map[string][]byte     // published records, by key
-	unavailable map[string]bool       // hosts to which the store does not respond; "" stands for all hosts
+	unavailable map[string]bool       // hosts whose calls the store refuses; "" stands for all hosts
+	silent      map[string]bool       // hosts whose reads the store does not answer
 	reads       map[string]int        // reads of the declaration, by host
 	openReads   map[int]chan struct{} // by number of the read; closed when its response is lost
 	lastRead    int                   // number of the last read
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+	return &store{version: 1, declaration: d, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
 }
 
 // loseOpenReads makes the store never respond to the reads that are open now.
@@ -107,8 +108,12 @@
 			return nil, after, err
 		}
 		c.mu.Lock()
-		version, changed := c.version, c.changed
+		version, changed, silent := c.version, c.changed, c.silent[c.host]
 		c.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, after, ctx.Err()
+		}
 		if !after.Known || version > after.Offset {
 			return []byte(strconv.FormatUint(version, 10)), Cursor{Offset: version, Known: true}, nil
 		}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -307,6 +307,36 @@
 	}
 }
 
+// A node that the store answers must have a declaration within the operator's two seconds
+// although the store answers no reader.
+func TestDeclarationWhileTheStoreAnswersNoReader(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		t.Run(fmt.Sprint("refused=", refused), func(t *testing.T) {
+			t.Parallel()
+			s, a, b, c := startSmallMesh(t)
+			time.Sleep(2 * time.Second) // until the readers follow the declaration
+			var served *host
+			for _, h := range []*host{a, b, c} {
+				if h.readerRank() == 2 {
+					served = h
+					continue
+				}
+				s.mu.Lock()
+				s.silent[string(h.node.cfg.Self.Node.Host)] = !refused
+				s.unavailable[string(h.node.cfg.Self.Node.Host)] = refused
+				s.mu.Unlock()
+			}
+			for version := uint64(2); version < 5; version++ {
+				s.declare(shopDeclaration)
+				time.Sleep(2 * time.Second)
+				if v := served.node.declarationVersion(); v != version {
+					t.Errorf("version %d is in force at the node that the store answers, want %d", v, version)
+				}
+			}
+		})
+	}
+}
+
 // Another writer may leave odd records among those of the nodes. A node that reads them must
 // list the others, keep its own record valid and go on.
 func TestOddNodeRecordsAreSkipped(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -57,6 +57,7 @@
 	controlClient *peer.Client    // sends control messages to peers
 	upstreamPool  *exchange.Pool  // connections to the local upstream
 	departures    chan struct{}   // receives a value when a departure is to be stored
+	doubts        chan struct{}   // receives a value when the data centre is in doubt whether the store answers its readers
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
 	openRequests  atomic.Int64    // requests in flight from callers and peers
 	runCtx        context.Context // cancelled at shutdown
@@ -76,6 +77,7 @@
 	rawDeclaration []byte     // the declaration as stored, for peers that lack it
 	cursor         Cursor     // position at the store up to which declarations are known
 	roster         *roster.Roster
+	lastDoubt      uint64 // of which the reader of the declaration was told last
 	tracker        *upstream.Tracker
 	gate           *slots.Gate
 	slotWaiters    map[uint64]chan slots.Decision // requests queued at the gate, by ID
@@ -129,6 +131,7 @@
 
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
+		doubts:          make(chan struct{}, 1),
 		departureStored: make(chan struct{}),
 	}
 	n.inFlight = pressure.NewInFlight(n.callGraph)
@@ -239,6 +242,7 @@
 			n.updateSpill(now)
 			n.updateCut(now)
 			n.dispatchQueued(now) // the rate limit of the upstream may allow more requests now
+			n.wakeReader(now)
 			out := n.roster.Tick(now)
 			n.refreshTable(now)
 			n.mu.Unlock()
@@ -286,6 +290,7 @@
 		return
 	}
 	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
+	n.wakeReader(n.now())
 	n.learnDeparture(n.roster.EarlierDeparture(), "peer")
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -105,3 +105,75 @@
 		t.Errorf("%d reads in a minute, want 28 to 40", reads)
 	}
 }
+
+// A store that answers no reader must be found out soon enough for others to read within the
+// operator's two seconds, at a moderate price.
+func TestPromptReads(t *testing.T) {
+	for _, v := range []View{
+		{Uptime: time.Minute, Rank: readers - 1},
+		{Uptime: time.Minute, Rank: 5, Substitute: true},
+		{Uptime: time.Minute, Rank: 0, Substitute: true},
+	} {
+		for seed := range uint64(100) {
+			plan := NewPlanner(seed).Next(v)
+			if plan.Delay > 0 || plan.Wait < 500*time.Millisecond || plan.Limit()+maxCheckDelay > 1500*time.Millisecond {
+				t.Fatalf("%+v: plan %+v, want a read of at least 0.5 s after which others have read within 1.5 s", v, plan)
+			}
+		}
+	}
+}
+
+// While the store answers no reader, many nodes of a data centre must read once, and again
+// only if nobody has news of the store: it may answer none of them.
+func TestOthersReadOnceInADoubt(t *testing.T) {
+	doubted := View{Uptime: time.Minute, Age: time.Second, Doubt: 1, DoubtAge: maxCheckDelay}
+	reading := 0
+	for rank := readers; rank < 1400; rank++ {
+		p, v := NewPlanner(1), doubted
+		v.Rank = rank
+		plan := p.Next(v)
+		if plan.Delay > 0 {
+			continue
+		}
+		reading++
+		if !plan.Check || plan.Limit() > promptAnswerLimit {
+			t.Errorf("rank %d: plan %+v, want a check that does not wait", rank, plan)
+		}
+		v.Uptime += recheckInterval
+		if p.Next(v).Delay == 0 {
+			t.Errorf("rank %d reads again because of the same doubt, with recent knowledge", rank)
+		}
+		v.Age = recheckAge
+		if p.Next(v).Delay > 0 {
+			t.Errorf("rank %d does not read again although nobody has news", rank)
+		}
+		if p.Next(v).Delay == 0 {
+			t.Errorf("rank %d reads twice in a row", rank)
+		}
+		v.Doubt = 3
+		if p.Next(v).Delay > 0 {
+			t.Errorf("rank %d does not read in another doubt", rank)
+		}
+	}
+	if reading != substitutes {
+		t.Errorf("%d nodes read in a doubt, want %d", reading, substitutes)
+	}
+	// The reads are spread, so that most nodes hear in time that the store has answered another.
+	first, last := doubted, doubted
+	first.Rank, last.Rank, first.DoubtAge, last.DoubtAge = readers, readers+substitutes-1, 0, 0
+	if a, b := NewPlanner(1).Next(first).Delay, NewPlanner(1).Next(last).Delay; a > 0 || b != maxCheckDelay {
+		t.Errorf("the nodes read %v to %v after the doubt, want 0 to %v", a, b, maxCheckDelay)
+	}
+}
+
+// A store that refuses the reads of readers must get fewer reads than one that is silent would.
+func TestPauseAfterRefusedReads(t *testing.T) {
+	for _, age := range []time.Duration{0, time.Minute} {
+		if pause := RefusalPause(View{Age: age}); pause < time.Second {
+			t.Errorf("pause of %v after a refused read with knowledge of age %v, want at least 1 s", pause, age)
+		}
+	}
+	if pause := RefusalPause(View{First: true}); pause != 0 {
+		t.Errorf("pause of %v after a refused first read, want only the backoff", pause)
+	}
+}
