Let a reader find out soon that the store answers it again

Cause: a reader that is not answered waits up to 2 s for the response, and then paused for another 2 s if peers had recent knowledge. While it is a reader, it does not take part in the search for a node that is answered. In the log of host-0: rank 0, declaration 8 from 29.50 on, store regained with version 12 at 35.51. Change: the pause counts from the start of the read, so that reads are repeated after 2.0 s. Why it works: whatever read was open when the store began to answer, the next one starts at most 2 s later.

TestReadsWhileTheStoreIsSilent keeps its bounds and now sums the pause that the node makes.

--- a/internal/roster/readers_test.go
+++ b/internal/roster/readers_test.go
@@ -40,12 +40,12 @@
 	return o
 }
 
-// begin draws the nodes that the store answers from now on: none of the readers, and at least
-// one node.
-func (o *partialOutage) begin() {
+// begin draws the nodes that the store answers from now on, at least one: those with readers
+// among them, or none of the readers.
+func (o *partialOutage) begin(readers bool) {
 	var hosts []mesh.Host
 	for i := range len(o.rosters) {
-		if host := member(i, 1).Node.Host; o.rosters[host].ReaderRank() >= 2 {
+		if host := member(i, 1).Node.Host; readers || o.rosters[host].ReaderRank() >= 2 {
 			hosts = append(hosts, host)
 		}
 	}
@@ -109,7 +109,7 @@
 	}{
 		{16, 3, 0.1, 8}, {16, 3, 0.6, 8}, {28, 4, 0.05, 8}, {28, 4, 0.5, 8}, {88, 4, 0.05, 2}, {95, 3, 0.1, 2},
 	} {
-		for _, kind := range []string{"silent", "refused", "silent to others after 4 s", "substitutes lost after 4 s"} {
+		for _, kind := range []string{"silent", "refused", "silent to others after 4 s", "silent to any others after 4 s", "substitutes lost after 4 s"} {
 			t.Run(fmt.Sprintf("%d nodes, %v served, %s", c.nodes, c.served, kind), func(t *testing.T) {
 				t.Parallel()
 				for seed := range c.seeds {
@@ -122,11 +122,13 @@
 					} else {
 						f.silent = unanswered
 					}
-					o.begin()
+					o.begin(false)
 					o.declare(4 * time.Second)
 					switch kind {
 					case "silent to others after 4 s":
-						o.begin()
+						o.begin(false)
+					case "silent to any others after 4 s":
+						o.begin(true)
 					case "substitutes lost after 4 s":
 						o.loseSubstitutes()
 					}
--- a/internal/roster/scale_test.go
+++ b/internal/roster/scale_test.go
@@ -117,7 +117,7 @@
 	switch {
 	case s.lost && elapsed >= s.plan.Limit():
 		s.planner.Unanswered()
-		f.failRead(host, s, watch.ErrorPause(s.view))
+		f.failRead(host, s, s.plan.RetryPause(s.view))
 	case s.lost || elapsed < storeLatency:
 	case f.refused(host):
 		s.planner.Answered()
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -63,7 +63,7 @@
 		}
 		storeLost = storeLost || err != nil
 		if err != nil {
-			pause := watch.ErrorPause(view) // no backoff, because this read took long enough
+			pause := plan.RetryPause(view) // no backoff, because this read took long enough
 			if errors.Is(err, context.DeadlineExceeded) {
 				planner.Unanswered()
 			} else {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -157,7 +157,11 @@
 	return Read{AnswerLimit: promptAnswerLimit, Check: true}
 }
 
-// ErrorPause returns the least pause after a read that the store did not answer in time.
+// RetryPause returns the least pause after the read if the store did not answer it in time. A
+// reader must find out soon that the store answers it again, so the time of the read counts.
+func (r Read) RetryPause(v View) time.Duration { return max(ErrorPause(v)-r.Limit(), 0) }
+
+// ErrorPause returns the least time from the start of a read that has failed to the next one.
 func ErrorPause(v View) time.Duration {
 	switch {
 	case v.First:
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -99,7 +99,7 @@
 		v.Age = now
 		plan := p.Next(v)
 		p.Unanswered()
-		now += plan.Delay + plan.Limit() + ErrorPause(v)
+		now += plan.Delay + plan.Limit() + plan.RetryPause(v)
 	}
 	if reads < 28 || reads > 40 {
 		t.Errorf("%d reads in a minute, want 28 to 40", reads)
@@ -166,6 +166,23 @@
 	}
 }
 
+// A reader that the store answers again must find out before operators expect it to be up to
+// date, 3 s later: one once paused for 2 s after a read of 2 s.
+func TestReadersFindOutThatTheyAreAnsweredAgain(t *testing.T) {
+	for rank := range readers {
+		for _, age := range []time.Duration{0, confirmedByPeers - 1, confirmedByPeers, time.Minute} {
+			p, v := NewPlanner(1), View{Uptime: time.Minute, Rank: rank, Age: age}
+			for attempt := range 10 {
+				plan := p.Next(v)
+				p.Unanswered()
+				if interval := plan.Delay + plan.Limit() + plan.RetryPause(v); attempt > 0 && interval > 2200*time.Millisecond {
+					t.Errorf("rank %d, knowledge of age %v: read %d is repeated after %v, want 2.2 s", rank, age, attempt, interval)
+				}
+			}
+		}
+	}
+}
+
 // A store that refuses the reads of readers must get fewer reads than one that is silent would.
 func TestPauseAfterRefusedReads(t *testing.T) {
 	for _, age := range []time.Duration{0, time.Minute} {
