Ignore absurd rounds in the read states of peers

Cause: by reading: a digest with the largest round would be believed and passed on, and the next round be zero, so that no node could end the doubt. Change: rounds above 2^62 are ignored, as claims are. Measured: TestAbsurdReadRoundIsIgnored failed before (all five nodes in doubt) and passes.

--- a/internal/roster/substitute.go
+++ b/internal/roster/substitute.go
@@ -13,6 +13,9 @@
 	// substituteTimeout is the time without news of the substitute after which it counts as
 	// lost. It tells of each answered read, about once in 0.8 s.
 	substituteTimeout = 1400 * time.Millisecond
+	// maxReadRound bounds the rounds that are accepted of peers. Rounds grow by less than ten a
+	// second, so a larger one is not that of a node.
+	maxReadRound = 1 << 62
 )
 
 // readState is what the nodes of a data centre tell each other about their readers. The state
@@ -104,7 +107,7 @@
 func (r *Roster) compareReadState(now time.Duration, d Digest) {
 	s := &r.reads
 	switch {
-	case d.From.DataCentre != r.self.Member.DataCentre:
+	case d.From.DataCentre != r.self.Member.DataCentre || d.ReadRound > maxReadRound:
 	case d.ReadRound > s.round, d.ReadRound == s.round && d.Substitute > s.substitute:
 		r.setReadState(now, d.ReadRound, d.Substitute)
 		if s.failed && s.substitute == "" && s.round%2 == 0 {
--- a/internal/roster/substitute_test.go
+++ b/internal/roster/substitute_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// One message with an absurd number must not leave a data centre in doubt for ever.
+func TestAbsurdReadRoundIsIgnored(t *testing.T) {
+	n, hosts := startReaders(t)
+	from := n.rosters[hosts[4]].Self().Member
+	for _, round := range []uint64{1<<64 - 1, maxReadRound + 1} {
+		n.rosters[hosts[3]].Deliver(n.now, from.Node, Digest{From: from, ReadRound: round})
+	}
+	n.run(time.Second)
+	n.check(t, "after an absurd message", false, "")
+}
+
 // Nodes of another data centre have readers of their own.
 func TestDoubtsStayInTheirDataCentre(t *testing.T) {
 	f := newFleet(8, 2)
