Test outages of the store that overlap with each other and with pauses of nodes

Cause: no test let a second outage, or a pause of the node that reads for the others, begin before the first had ended. Change: a test of the simulated fleet.

--- a/internal/roster/readers_test.go
+++ b/internal/roster/readers_test.go
@@ -141,3 +141,40 @@
 		}
 	}
 }
+
+// Outages that begin while others last, and pauses of nodes that read for the others, must not
+// leave a data centre without a reader, or with too many of them afterwards.
+func TestDeclarationWhileOutagesAndPausesOverlap(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(16, 3)
+		f.start()
+		o := newPartialOutage(f, 0.1+0.1*float64(seed%5), seed)
+		f.silent = func(h mesh.Host) bool { return o.silent[h] }
+		for range 8 {
+			o.begin(o.random.IntN(2) == 0)
+			if o.random.IntN(2) == 0 {
+				o.loseSubstitutes()
+			}
+			o.declare(time.Duration(800+o.random.IntN(5000)) * time.Millisecond)
+			for host := range f.down {
+				delete(f.down, host)
+				if !o.silent[host] {
+					o.servedSince[host] = f.now
+				}
+			}
+		}
+		if len(o.lateHosts) > 0 {
+			t.Errorf("seed %d: %d nodes that the store answers lacked a declaration for over %v, one for %v", seed, len(o.lateHosts), applyTime, o.longestDelay)
+		}
+		f.silent = func(mesh.Host) bool { return false }
+		f.run(maxSubstituteTime + 5*time.Second)
+		f.reads = 0
+		f.run(10 * time.Second)
+		if f.reads > 72 { // as many for each data centre as TestControlBytesDoNotGrowWithTheFleet allows
+			t.Errorf("seed %d: %d reads in ten seconds long after the outages, want at most 72", seed, f.reads)
+		}
+		if took := f.spread(10 * time.Second); took > applyTime {
+			t.Errorf("seed %d: in force everywhere after %v, want %v", seed, took, applyTime)
+		}
+	}
+}
