--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -123,8 +123,7 @@
 	return n
 }
 
-// Store returns the address at which the machine reaches the store. Each machine has its own,
-// by which the store tells them apart.
+// Store returns the address at which the machine reaches the store. Each machine has its own.
 func (n *Node) Store() string {
 	_, number, _ := strings.Cut(n.IP, n.lab.subnet)
 	return n.lab.subnet + "9:85" + number
