Show that orders run after their callers have left (GONE)

Cause: a request that waits at the serving node with its body unread does not see its connection end.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build line of deploy/system.toml, and review/build-2.sh" >&2
   exit 2
 fi
-exec target/review-2/standin-2 forged-beat review/10/record.txt
+exec target/review-2/standin-2 gone-clients review/10/record.txt
