--- a/review/standin-2/scenarios.go
+++ b/review/standin-2/scenarios.go
@@ -117,13 +117,14 @@
 	return lateRuns(leaving, acknowledged)
 }
 
-// twoTerms stops the process of one machine by SIGTERM, and again while it is stopping, as two
-// rolling restarts do that overlap.
+// twoTerms takes away the back end of one machine, so that the process beside it gets SIGTERM after
+// the back end has terminated. In the disruption, a rolling restart has reached the process shortly
+// before.
 func twoTerms(l *Lab) []string {
 	const (
 		work     = 1200 * time.Millisecond
 		deadline = 4 * time.Second
-		between  = 1300 * time.Millisecond // from the first to the second SIGTERM
+		between  = 1300 * time.Millisecond // from the SIGTERM of the restart to that of the removal
 		grace    = 6 * time.Second
 	)
 	front := l.AddNode("front", "a")
@@ -155,8 +156,20 @@
 		answers[id] = a
 	})
 	time.Sleep(2 * time.Second)
-	front.Signal(syscall.SIGTERM)
+	backends[0].Leave()
+	time.Sleep(drain + 500*time.Millisecond - between)
 	terminated := time.Now()
+	if l.Trouble {
+		l.Log("a rolling restart reaches %s", front.Name)
+		front.Signal(syscall.SIGTERM)
+	}
+	time.Sleep(between)
+	backends[0].Deregister()
+	backends[0].Exit()
+	if !l.Trouble {
+		terminated = time.Now()
+	}
+	front.Signal(syscall.SIGTERM)
 	go func() { // the readiness checks of the platform: two misses take the machine out
 		for misses := 0; misses < 2; {
 			time.Sleep(time.Second)
@@ -171,10 +184,6 @@
 		l.Log("%s gets no new work", front.Name)
 		close(stop)
 	}()
-	time.Sleep(between)
-	if l.Trouble {
-		front.Signal(syscall.SIGTERM)
-	}
 	select {
 	case <-front.done:
 	case <-time.After(time.Until(terminated.Add(grace))):
