--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -41,8 +41,9 @@
 }
 
 // Load is the load that an upstream reports. Slots is the number of requests that it can
-// run at a time.
-type Load struct{ Running, Waiting, Slots int }
+// run at a time. Slowness is how long work takes on its host at the moment, in percent of
+// the usual time; zero: not stated.
+type Load struct{ Running, Waiting, Slots, Slowness int }
 
 // Cursor is a position in the platform's store. The zero value is the beginning.
 type Cursor struct {
