slots: Limit the requests to a cold upstream

An upstream that has just started, or lost its caches, crashes if it gets many more requests a second than its declared rate. The gate knew only the limits that upstreams name in their responses.

SetColdLimit sets a second limit; the lower one applies, in the same token bucket. For a cold upstream, the requests of the last second are counted, too, in intervals of 50 ms, so that those that were sent before the node learned that it is cold, or to its earlier start, leave no room for more.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -1,7 +1,9 @@
 // Package slots limits the concurrency of one upstream and queues the requests that
 // exceed the limit. The limit follows the number of slots that the upstream reports. An
 // upstream in need may also name a limit on its requests per second, which the package
-// enforces for the whole fleet, since all requests for the upstream pass through its node.
+// enforces for the whole fleet, since all requests for the upstream pass through its node. It
+// enforces the declared limit of a cold upstream in the same way: one that has just started, or
+// lost its caches, crashes if it gets many requests a second.
 //
 // The package is designed for a demand that stays above the capacity for long. Requests
 // that queue inside the upstream would occupy slots and connections after their callers
@@ -106,7 +108,7 @@
 func (g *Gate) Reset() {
 	g.limit = g.maxLimit()
 	g.latency = 0
-	g.rate = rate{}
+	g.rate.reset()
 	g.awaitsAnswer = false
 }
 
@@ -129,18 +131,32 @@
 func (g *Gate) SetSpill(spills bool) { g.spills = spills }
 
 // Spills reports whether requests that a rate limit holds back are refused at once.
-func (g *Gate) Spills() bool { return g.spills && g.rate.perSecond > 0 }
+func (g *Gate) Spills() bool { return g.spills && g.rate.limit() > 0 }
 
-// RateLimit returns the limit on requests per second, or zero if there is none.
-func (g *Gate) RateLimit() float64 { return g.rate.perSecond }
+// SetColdLimit sets the limit on requests per second of an upstream that is or may be cold, or
+// lifts it if perSecond is zero. tolerated is the largest number of requests that a cold
+// upstream may get in any second. SetColdLimit reports whether the limit has changed.
+func (g *Gate) SetColdLimit(now time.Duration, perSecond, tolerated float64) bool {
+	return g.rate.setCold(now, perSecond, tolerated)
+}
+
+// ColdLimit returns the limit that SetColdLimit has set.
+func (g *Gate) ColdLimit() float64 { return g.rate.cold }
+
+// NamedLimit returns the limit that the upstream names, or zero if it names none.
+func (g *Gate) NamedLimit() float64 { return g.rate.named }
+
+// RateLimit returns the limit on requests per second, the lower one of NamedLimit and
+// ColdLimit, or zero if there is none.
+func (g *Gate) RateLimit() float64 { return g.rate.limit() }
 
 // Capacity returns the mean number of requests that run at a time if the upstream gets as
 // many as its limits allow.
 func (g *Gate) Capacity() float64 {
-	if g.rate.perSecond == 0 || g.latency == 0 {
+	if g.rate.limit() == 0 || g.latency == 0 {
 		return float64(g.Limit())
 	}
-	return min(float64(g.Limit()), g.rate.perSecond*time.Duration(g.latency).Seconds())
+	return min(float64(g.Limit()), g.rate.limit()*time.Duration(g.latency).Seconds())
 }
 
 // TimeoutReason returns the reason why a queued request has not started in time.
@@ -152,7 +168,7 @@
 }
 
 // heldByRate reports whether the rate limit and not the slots make requests wait.
-func (g *Gate) heldByRate() bool { return g.rate.perSecond > 0 && g.running < int(g.limit) }
+func (g *Gate) heldByRate() bool { return g.rate.limit() > 0 && g.running < int(g.limit) }
 
 // startsNow reports whether the limits allow another request to start.
 func (g *Gate) startsNow(now time.Duration) bool {
@@ -162,7 +178,7 @@
 // start records that a request is sent to the upstream.
 func (g *Gate) start(now time.Duration) {
 	g.running++
-	g.rate.take()
+	g.rate.take(now)
 	if g.awaitsAnswer && g.askedAt < 0 {
 		g.askedAt = now
 	}
@@ -184,7 +200,7 @@
 // startsTooLate reports whether the rate limit makes a queued request wait beyond its latest
 // start, as far as the requests that go before it tell.
 func (g *Gate) startsTooLate(now time.Duration, r Request) bool {
-	if g.rate.perSecond == 0 {
+	if g.rate.limit() == 0 {
 		return false
 	}
 	before := 0
