platform: Decode what is declared and reported of cold upstreams

Nodes cannot limit the requests to a cold upstream without knowing its declared rate and when it is cold.

Decodes cold_start and cold_per_s of services (also as the number 0), cold_left of heartbeats, Cold-Ms of health responses, and the settings cold_overage and cold_slack. Without the settings, no more than the declared rate counts as tolerated.

--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -112,6 +112,7 @@
 			Drain: nodeSettings.Terms.Drain, Heartbeat: nodeSettings.Terms.Heartbeat,
 			Retry: retry.BudgetConfig{Ratio: nodeSettings.Terms.RetryRatio, Allowance: nodeSettings.Terms.RetryAllowance, Window: nodeSettings.Terms.RetryWindow},
 			Quota: ratelimit.Tolerance{Window: nodeSettings.Terms.QuotaWindow, Overage: nodeSettings.Terms.QuotaOverage, Slack: nodeSettings.Terms.QuotaSlack},
+			Cold:  sidecar.ColdTolerance{Overage: nodeSettings.Terms.ColdOverage, Slack: nodeSettings.Terms.ColdSlack},
 		},
 		Log:           log,
 		Metrics:       registry,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,6 +51,10 @@
 	Name           mesh.Service
 	HealthPath     string // path of the health probe; empty: none
 	MaxConnections int    // to one upstream; zero: no limit; nodes do not enforce it
+	// ColdPerSecond is the number of requests per second that an upstream takes while it is
+	// cold, which it is for ColdStart after a start. Zero: no limit.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Limits holds the limits that apply to every caller.
@@ -89,6 +93,9 @@
 		services:   map[mesh.Service]Service{},
 	}
 	for _, s := range d.Services {
+		if s.ColdPerSecond < 0 || s.ColdStart < 0 {
+			return nil, fmt.Errorf("service %q: the rate %v and the time %v of a cold start must not be negative", s.Name, s.ColdPerSecond, s.ColdStart)
+		}
 		c.services[s.Name] = s
 	}
 	for i := range d.Routes {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -40,6 +40,8 @@
 	QuotaWindow    time.Duration // length of the window in which overage and slack are measured
 	QuotaOverage   float64       // fraction of the limit by which a workspace may exceed it in a window
 	QuotaSlack     float64       // requests per window by which a workspace may exceed its limit in addition to the overage
+	ColdOverage    float64       // factor of its declared rate that a cold upstream tolerates in any second
+	ColdSlack      float64       // requests per second that a cold upstream tolerates in addition to the overage
 }
 
 const (
@@ -49,6 +51,7 @@
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = 10 * time.Second
 	defaultQuotaWindow = 5 * time.Second
+	defaultColdOverage = 1.0
 )
 
 // ParseSidecar parses and validates the settings of a sidecar. The error is an
@@ -95,6 +98,8 @@
 		QuotaWindow:    sec.DurationOr("quota_window", defaultQuotaWindow),
 		QuotaOverage:   sec.FloatOr("quota_overage", 0),
 		QuotaSlack:     sec.FloatOr("quota_slack", 0),
+		ColdOverage:    sec.FloatOr("cold_overage", defaultColdOverage),
+		ColdSlack:      sec.FloatOr("cold_slack", 0),
 	}
 	for _, param := range []struct {
 		key   string
@@ -113,6 +118,7 @@
 	}{
 		{"retry_ratio", t.RetryRatio}, {"retry_allowance", t.RetryAllowance},
 		{"quota_overage", t.QuotaOverage}, {"quota_slack", t.QuotaSlack},
+		{"cold_overage", t.ColdOverage}, {"cold_slack", t.ColdSlack},
 	} {
 		if param.value < 0 {
 			sec.AddProblem(param.key, "value is below zero")
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -33,11 +33,15 @@
 	RateLimit     string // requests per second that the upstream takes from all nodes together
 	Leaving       string // "1" if the upstream leaves
 	ProbeInstance string // instance of the upstream that answers a health probe
+	ProbeCold     string // time for which the upstream that answers a health probe is still cold
 	// ParseLoad parses the value of the Load header.
 	ParseLoad func(string) (Load, bool)
 	// ParseRateLimit parses the value of the RateLimit header, in requests per second. It
 	// returns false if the header is missing or malformed.
 	ParseRateLimit func(string) (float64, bool)
+	// ParseCold parses the value of the ProbeCold header. It returns false if the header is
+	// missing or malformed.
+	ParseCold func(string) (time.Duration, bool)
 }
 
 // Load is the load that an upstream reports. Slots is the number of requests that it can
@@ -72,8 +76,13 @@
 	Heartbeat time.Duration // interval between announcements of an upstream
 	Retry     retry.BudgetConfig
 	Quota     ratelimit.Tolerance // how far a workspace may exceed its rate limit
+	Cold      ColdTolerance
 }
 
+// ColdTolerance states how many requests a cold upstream tolerates in any second: Overage
+// times its declared rate, and Slack.
+type ColdTolerance struct{ Overage, Slack float64 }
+
 // Listeners are the listening sockets of a node. A nil listener is not served.
 type Listeners struct{ Callers, Peers, Announcements, Ready, Metrics net.Listener }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,10 @@
 	Sequence  uint64 // increases with each announcement within one start of the upstream
 	State     State
 	Slots     int // requests that the upstream can run at a time; zero: not stated
+	// ColdLeft is how much longer the upstream was cold when it sent the announcement, if
+	// ColdStated is set.
+	ColdLeft   time.Duration
+	ColdStated bool
 }
 
 const (
