upstream: Track whether the upstream is or may be cold

An upstream can become cold at any moment, and a crash can replace it by a cold one, so its last announcement is not always valid.

The tracker takes reports of announcements and health responses over, and suspects the upstream to be cold after a start that says nothing, a refused or reset connection, a gap of two announcement intervals, or when told so. Most suspicions ask for one health probe; an announcement that may have been sent before the suspicion or before a health response does not end them. A probe that cannot reach the upstream is repeated when the upstream is heard of again.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,7 +4,8 @@
 // Announcements can arrive late and out of order, even from an earlier start of the
 // upstream at the same address, and an upstream that crashes announces nothing. The
 // tracker orders announcements by start time and sequence number. It stops accepting new
-// requests for a draining upstream well before the end of the drain time.
+// requests for a draining upstream well before the end of the drain time. An upstream is cold
+// after a start, and may become cold at any moment; the tracker tells whether it is, or may be.
 package upstream
 
 import (
@@ -95,6 +96,7 @@
 	// acknowledged.
 	departure    roster.Departure
 	historyKnown bool // departure includes those of earlier incarnations
+	cold         coldState
 }
 
 // New returns a tracker of an upstream that has not been seen yet.
@@ -138,6 +140,7 @@
 		t.recordDeparture(now, a)
 	}
 	t.last, t.known, t.announced, t.lastContact, t.down = a, true, true, now, false
+	t.recordColdReport(now, a, result.Restarted)
 	return result
 }
 
@@ -255,6 +258,7 @@
 	t.historyKnown = true
 	t.last = Announcement{Instance: instance, Service: t.cfg.Service, Address: t.cfg.Address, Slots: slots}
 	t.known, t.lastContact = true, now
+	t.startCold(now)
 	return true
 }
 
@@ -268,7 +272,10 @@
 func (t *Tracker) Known() bool { return t.known }
 
 // RecordResponse records that the upstream responded to a request.
-func (t *Tracker) RecordResponse(now time.Duration) { t.lastResponse, t.down = now, false }
+func (t *Tracker) RecordResponse(now time.Duration) {
+	t.lastResponse, t.down = now, false
+	t.recordContact()
+}
 
 // AnsweredSince reports whether the upstream has responded to a request since the given time.
 func (t *Tracker) AnsweredSince(since time.Duration) bool { return t.lastResponse > since }
@@ -290,7 +297,10 @@
 func (t *Tracker) leaving() bool { return t.saidLeaving || t.last.State != Ready }
 
 // RecordRefusedConnection records that the upstream did not accept a connection.
-func (t *Tracker) RecordRefusedConnection(now time.Duration) { t.lastRefused, t.down = now, true }
+func (t *Tracker) RecordRefusedConnection(now time.Duration) {
+	t.lastRefused, t.down = now, true
+	t.suspectCold(now, checkOnContact)
+}
 
 // RecordReplacement records that another instance than sentTo, which Current returned when a
 // request was sent, serves at the address. No request is sent to it until the next
