sidecar: Keep the limit of cold upstreams

The node sets the gate's cold limit from the tracker's state and the declared rate before each request, publishes it as a limited upstream, and shortens the pause of entry nodes to the time that the upstream is still cold. A node that starts beside a running upstream asks the health path once, and so does one that sees two other upstreams of its service become limited, since a whole service may become cold at once. confirmWarm is for data centres that are taken back. Nothing changes without a declared rate.

--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -131,7 +131,7 @@
 type nodeMetrics struct {
 	registry                                                                       metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenResponses, retries metrics.Counter
-	storeFailures, rejectedDeclarations                                            metrics.Counter
+	storeFailures, rejectedDeclarations, coldPeriods, coldChecks                   metrics.Counter
 	declaration                                                                    metrics.Gauge
 	latency, queueTime                                                             metrics.Histogram
 }
@@ -154,6 +154,8 @@
 		brokenResponses:      counter("answers.broken"),
 		retries:              counter("attempts.repeated"),
 		storeFailures:        counter("store.failures"),
+		coldChecks:           counter("upstream.cold.checks"),
+		coldPeriods:          counter("upstream.cold.periods"),
 		rejectedDeclarations: counter("declarations.refused"),
 		declaration:          metrics.GetOrRegisterGauge("declaration.version", r),
 		latency:              histogram("requests.latency_us"),
@@ -181,6 +183,7 @@
 	gauge("gate.queued", int64(n.gate.Queued()))
 	gauge("gate.limit", int64(n.gate.Limit()))
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
+	gauge("upstream.cold.left_ms", n.tracker.ColdLeft(now).Milliseconds())
 	gauge("roster.nodes", int64(n.roster.Len(now)))
 	gauge("store.reader_rank", int64(n.roster.ReaderRank()))
 	gauge("declaration.age_ms", n.roster.DeclarationAge(now).Milliseconds())
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -26,8 +26,12 @@
 
 var dialect = Dialect{
 	RequestID: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
-	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, Leaving: leavingHeader, ProbeInstance: "X-Answerer",
+	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, Leaving: leavingHeader, ProbeInstance: "X-Answerer", ProbeCold: "X-Cold",
 	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+	ParseCold: func(value string) (time.Duration, bool) {
+		left, err := time.ParseDuration(value)
+		return left, err == nil
+	},
 	ParseRateLimit: func(value string) (float64, bool) {
 		limit, err := strconv.ParseFloat(value, 64)
 		return limit, err == nil
@@ -178,6 +182,9 @@
 	handle          func(h *host, w http.ResponseWriter, r *http.Request)
 	state           upstream.State // in the announcements
 	sequence        uint64         // of the last announcement
+	coldUntil       time.Time      // in announcements and health responses
+	announcesWarm   bool           // the announcements say that the upstream is warm, whatever coldUntil is
+	healthProbes    int
 	stopAnnouncing  func()
 }
 
@@ -215,6 +222,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == healthPath {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.healthProbes++
+		w.Header().Set(dialect.ProbeInstance, h.instance)
+		w.Header().Set(dialect.ProbeCold, h.coldLeft().String())
+		return
+	}
 	h.mu.Lock()
 	h.runs[id]++
 	h.lastHeader = r.Header.Clone()
@@ -256,6 +271,7 @@
 	Drain: time.Second, Heartbeat: time.Second,
 	Retry: retry.BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
 	Quota: ratelimit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+	Cold:  ColdTolerance{Overage: 1.5, Slack: 8},
 }
 
 // startHost starts an upstream and the node next to it.
@@ -328,13 +344,23 @@
 func (h *host) announceTo(node *Node) {
 	h.mu.Lock()
 	h.sequence++
+	left := h.coldLeft()
+	if h.announcesWarm {
+		left = 0
+	}
 	a := upstream.Announcement{
 		Instance: h.instance, Service: h.service, Address: h.upstreamAddress, StartTime: 1, Sequence: h.sequence, State: h.state, Slots: h.slots,
+		ColdLeft: left, ColdStated: true,
 	}
 	h.mu.Unlock()
 	node.HandleAnnouncement(a)
 }
 
+const healthPath = "/health" // of the services that declare one
+
+// coldLeft returns how much longer the upstream is cold. h.mu must be held.
+func (h *host) coldLeft() time.Duration { return max(time.Until(h.coldUntil), 0) }
+
 func shopDeclaration(version uint64) catalog.Declaration {
 	return catalog.Declaration{
 		Version: version,
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -36,11 +37,13 @@
 		n.upstreamPool.Invalidate()
 		if n.ranBefore(a) {
 			n.gate.AwaitAnswer()
+			n.confirmWarm() // it may have become cold since it sent the announcement
 		}
 	}
 	if result.Changed {
 		n.gate.SetSlots(n.tracker.Current().Slots)
 	}
+	n.refreshCold(now)
 	n.publishPhase(now)
 	n.requestDepartureWrite()
 	out := n.roster.Outgoing()
@@ -111,8 +114,9 @@
 }
 
 // probeOnce sends one health probe and records the instance and the slots that the
-// upstream reports.
+// upstream reports, and how much longer it is cold.
 func (n *Node) probeOnce(path string) {
+	sentAt := n.now()
 	ctx, cancel := n.context(probeTimeout)
 	defer cancel()
 	resp, err := n.upstreamPool.Do(ctx, &exchange.Request{
@@ -120,6 +124,11 @@
 	})
 	if err != nil {
 		n.cfg.Log.Write(eventlog.Observation, "probe failed", "address", n.cfg.UpstreamAddress, "err", err)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if failure := (*exchange.Failure)(nil); errors.As(err, &failure) && !failure.Sent {
+			n.tracker.RecordColdProbeFailed()
+		}
 		return
 	}
 	defer resp.Close()
@@ -136,6 +145,10 @@
 		n.gate.SetSlots(n.tracker.Current().Slots)
 		n.publishPhase(n.now())
 	}
+	cold, stated := n.cfg.Dialect.ParseCold(resp.Header.Get(n.cfg.Dialect.ProbeCold))
+	n.tracker.HandleColdProbe(n.now(), sentAt, instance, cold, stated)
+	n.refreshCold(n.now())
+	n.dispatchQueued(n.now()) // the upstream may be warm
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.send(out)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -57,6 +57,7 @@
 	controlClient *peer.Client    // sends control messages to peers
 	upstreamPool  *exchange.Pool  // connections to the local upstream
 	departures    chan struct{}   // receives a value when a departure is to be stored
+	coldChecks    chan struct{}   // receives a value when the health path is to be asked whether the upstream is cold
 	doubts        chan struct{}   // receives a value when the data centre is in doubt whether the store answers its readers
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
 	openRequests  atomic.Int64    // requests in flight from callers and peers
@@ -101,6 +102,8 @@
 	nestedDurations *shutdown.Durations
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
 	departureStored chan struct{}    // closed when storedDeparture changes
+	coldSince       time.Duration    // when the local upstream became, or was suspected to be, cold
+	comparedOthers  bool             // compareWithOthers has found limited upstreams since there were none
 }
 
 // New creates a node. Call Start to serve requests.
@@ -131,6 +134,7 @@
 
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
+		coldChecks:      make(chan struct{}, 1),
 		doubts:          make(chan struct{}, 1),
 		departureStored: make(chan struct{}),
 	}
@@ -175,6 +179,7 @@
 	n.startLoop(n.publishAndList)
 	n.startLoop(n.storeDepartures)
 	n.startLoop(n.probe)
+	n.startLoop(n.checkCold)
 	n.startLoop(n.trimPools)
 	n.cfg.Log.Write(eventlog.Lifecycle, "started", "incarnation", uint64(n.cfg.Self.Node.Incarnation),
 		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service)
@@ -239,6 +244,9 @@
 			now := n.now()
 			n.publishPhase(now)
 			n.refreshLimiter(now)
+			n.compareWithOthers(now)
+			n.refreshCold(now)
+			n.publishLimited()
 			n.updateSpill(now)
 			n.updateCut(now)
 			n.dispatchQueued(now) // the rate limit of the upstream may allow more requests now
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -74,6 +74,7 @@
 		n.mu.Unlock()
 		return refusal, false
 	}
+	n.refreshCold(now)
 	// The weight leaves out requests that services called by the route would refuse.
 	n.meter.RecordArrival(now, req.Level, req.Nested, n.callGraph.CalleeCut(now, req.Route, n.cuts).Weight(req.Weight, req.Level))
 	verdict, reason := n.gate.Arrive(now, slots.Request{
@@ -127,6 +128,10 @@
 		contenders := float64(min(n.roster.Len(n.now()), maxContenders))
 		refusal.RetryAfter = min(time.Duration(contenders/limit*float64(time.Second)), maxPause)
 		refusal.Detail = "the upstream takes " + strconv.FormatFloat(limit, 'f', 1, 64) + " requests a second"
+		if n.gate.ColdLimit() == limit {
+			refusal.RetryAfter = n.coldPause(n.now(), refusal.RetryAfter)
+			refusal.Detail += " while it is cold"
+		}
 	}
 	return refusal
 }
@@ -151,6 +156,7 @@
 	defer n.mu.Unlock()
 	now := n.now()
 	n.gate.Done(now-began, complete)
+	n.refreshCold(now)
 	n.dispatchQueued(now)
 }
 
@@ -219,6 +225,7 @@
 		execution, reason = outcome.NotRun, outcome.ConnectFailed
 		n.mu.Lock()
 		n.tracker.RecordRefusedConnection(n.now())
+		n.refreshCold(n.now())
 		n.publishPhase(n.now())
 		out := n.roster.Outgoing()
 		n.mu.Unlock()
@@ -235,6 +242,11 @@
 			n.gate.RecordShed(n.now())
 		}
 		n.mu.Unlock()
+	case failure != nil: // the upstream may have crashed
+		n.mu.Lock()
+		n.tracker.RecordReset(n.now())
+		n.refreshCold(n.now())
+		n.mu.Unlock()
 	}
 	n.metrics.upstreamFailures.Inc(1)
 	return n.refusal(execution, reason, err.Error())
@@ -290,12 +302,10 @@
 		return // malformed: neither a limit nor the absence of one
 	}
 	n.mu.Lock()
-	old := n.gate.RateLimit()
+	old := n.gate.NamedLimit()
 	changed := n.gate.RecordRateLimit(n.now(), perSecond, ok)
-	limit := n.gate.RateLimit()
-	if (limit > 0) != n.roster.Self().Limited {
-		n.roster.Update(true, func(r *roster.Record) { r.Limited = limit > 0 })
-	}
+	limit := n.gate.NamedLimit()
+	n.publishLimited()
 	if changed {
 		n.updateSpill(n.now())
 	}
