sidecar: Ask at once when another upstream becomes cold

When a whole service becomes cold at once, each node learned of it from the next announcement of its own upstream, 0.75 s later on average.

upstream.Others watches the records of the service.

While the answer of the health path is expected, requests now wait and the cut ignores the limit. The pause of entry nodes ends before the upstream is warm.

--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -8,10 +8,6 @@
 	"cardamomhatch/internal/roster"
 )
 
-// minColdOthers is the number of other upstreams of the service whose requests must be limited
-// for the local one to be asked whether it is cold, too. A single one is mostly a restart.
-const minColdOthers = 2
-
 // suspicionPause is the time for which entry nodes are asked to stay away from an upstream that
 // is only suspected to be cold: the health path answers within a few milliseconds.
 const suspicionPause = 100 * time.Millisecond
@@ -40,6 +36,7 @@
 	if ok && left > 0 {
 		limit, tolerated = s.ColdPerSecond, s.ColdPerSecond*n.cfg.Bounds.Cold.Overage+n.cfg.Bounds.Cold.Slack
 	}
+	n.gate.SetProvisional(ok && n.tracker.ColdAnswerExpected(now))
 	was := n.gate.ColdLimit()
 	if n.gate.SetColdLimit(now, limit, tolerated) {
 		if limit == 0 || !n.tracker.SuspectedCold(now) { // most suspicions end before the next tick
@@ -72,12 +69,13 @@
 }
 
 // coldPause returns how long an entry node is to send no request to an upstream that is or may
-// be cold, if the limit alone calls for the given time. n.mu must be held.
+// be cold, if the limit alone calls for the given time. All of them should be back when it is
+// warm, and the routing table makes a pause up to one and a half times as long. n.mu must be held.
 func (n *Node) coldPause(now, pause time.Duration) time.Duration {
 	if n.tracker.SuspectedCold(now) {
 		return suspicionPause
 	}
-	return max(min(pause, n.tracker.ColdLeft(now)), minRetryDelay)
+	return max(min(pause, n.tracker.ColdLeft(now)*2/3), minRetryDelay)
 }
 
 // publishLimited publishes to the peers whether the requests to the local upstream are limited.
@@ -97,26 +95,15 @@
 }
 
 // compareWithOthers has the local upstream asked whether it is cold if other upstreams of the
-// service have become limited: a whole service may become cold at once, and the upstreams
-// announce it at different times. n.mu must be held.
+// service have just become cold. n.mu must be held.
 func (n *Node) compareWithOthers(now time.Duration) {
 	if _, ok := n.coldService(); !ok {
 		return
 	}
-	limited := 0
-	for _, r := range n.roster.Members(now, n.cfg.Self.Service) {
-		if r.Limited && !n.isSelf(r.Member) {
-			limited++
-		}
-	}
-	if limited < minColdOthers {
-		n.comparedOthers = false
-		return
-	}
-	if !n.comparedOthers && n.gate.ColdLimit() == 0 {
+	suspicious := n.otherUpstreams.Observe(now, n.cfg.Self.Node.Host, n.roster.Members(now, n.cfg.Self.Service))
+	if suspicious && n.gate.ColdLimit() == 0 {
 		n.confirmWarm()
 	}
-	n.comparedOthers = true
 }
 
 // checkCold asks the health path whether the upstream is cold whenever a check is due, until the
@@ -131,11 +118,16 @@
 		n.mu.Lock()
 		s, _ := n.coldService()
 		due := n.tracker.ColdCheckDue()
-		n.tracker.BeginColdCheck(n.now())
+		if due {
+			n.tracker.BeginColdCheck(n.now())
+		}
 		n.mu.Unlock()
 		if due && s.HealthPath != "" {
 			n.metrics.coldChecks.Inc(1)
 			n.probeOnce(s.HealthPath)
 		}
+		n.mu.Lock()
+		n.tracker.EndColdCheck()
+		n.mu.Unlock()
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -103,7 +103,7 @@
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
 	departureStored chan struct{}    // closed when storedDeparture changes
 	coldSince       time.Duration    // when the local upstream became, or was suspected to be, cold
-	comparedOthers  bool             // compareWithOthers has found limited upstreams since there were none
+	otherUpstreams  *upstream.Others // of the service
 }
 
 // New creates a node. Call Start to serve requests.
@@ -134,6 +134,7 @@
 
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
+		otherUpstreams:  upstream.NewOthers(cfg.Bounds.Heartbeat),
 		coldChecks:      make(chan struct{}, 1),
 		doubts:          make(chan struct{}, 1),
 		departureStored: make(chan struct{}),
--- a/internal/slots/cold_test.go
+++ b/internal/slots/cold_test.go
@@ -84,6 +84,26 @@
 	}
 }
 
+// While it is being found out whether an upstream is cold, requests must wait: refusals in the
+// few milliseconds until the answer were requests lost at a service that was not cold.
+func TestRequestsWaitForTheAnswerWhetherAnUpstreamIsCold(t *testing.T) {
+	g := New()
+	g.SetSlots(100)
+	g.SetSpill(true)
+	g.Arrive(0, Request{LatestStart: second, Deadline: second})
+	g.Done(50*time.Millisecond, true)
+	g.SetColdLimit(0, coldPerSecond, coldTolerated)
+	for provisional, want := range map[bool]Verdict{true: Wait, false: Refuse} {
+		g.SetProvisional(provisional)
+		if v, _ := g.Arrive(0, Request{ID: uint64(want), LatestStart: 100 * time.Millisecond, Deadline: second}); v != want {
+			t.Errorf("provisional limit %v: verdict is %v, want %v", provisional, v, want)
+		}
+		if full := g.Capacity() == float64(g.Limit()); full != provisional {
+			t.Errorf("provisional limit %v: capacity is %v of %d slots", provisional, g.Capacity(), g.Limit())
+		}
+	}
+}
+
 // The lower one of both limits must apply, and each must end without the other one.
 func TestColdAndNamedLimits(t *testing.T) {
 	g := New()
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -81,6 +81,8 @@
 	grownAt time.Duration             // time up to which growth has been added to limit
 	rate    rate                      // limit on the requests per second
 	spills  bool                      // requests that the rate limit holds back are refused and not queued
+	// provisional is set while the rate limit is likely to be lifted or confirmed very soon.
+	provisional bool
 	// awaitsAnswer is set until the upstream has answered. askedAt is the time of the first
 	// request in that state, or negative before it.
 	awaitsAnswer bool
@@ -140,6 +142,10 @@
 	return g.rate.setCold(now, perSecond, tolerated)
 }
 
+// SetProvisional sets whether the limit that SetColdLimit has set is likely to be lifted or
+// confirmed very soon. While it is, the requests that it holds back wait in the queue.
+func (g *Gate) SetProvisional(provisional bool) { g.provisional = provisional }
+
 // ColdLimit returns the limit that SetColdLimit has set.
 func (g *Gate) ColdLimit() float64 { return g.rate.cold }
 
@@ -151,9 +157,10 @@
 func (g *Gate) RateLimit() float64 { return g.rate.limit() }
 
 // Capacity returns the mean number of requests that run at a time if the upstream gets as
-// many as its limits allow.
+// many as its limits allow. A provisional limit does not count: a cut that follows from it
+// would outlast it.
 func (g *Gate) Capacity() float64 {
-	if g.rate.limit() == 0 || g.latency == 0 {
+	if g.rate.limit() == 0 || g.latency == 0 || g.provisional {
 		return float64(g.Limit())
 	}
 	return min(float64(g.Limit()), g.rate.limit()*time.Duration(g.latency).Seconds())
@@ -251,7 +258,7 @@
 		g.start(now)
 		return Run, outcome.None
 	}
-	if g.startsTooLate(now, r) || (g.Spills() && g.heldByRate()) {
+	if !g.provisional && (g.startsTooLate(now, r) || (g.Spills() && g.heldByRate())) {
 		return Refuse, outcome.UpstreamLimited
 	}
 	if r.LatestStart <= now || g.queued >= maxQueuedPerSlot*int(g.limit)+minLimit {
--- a/internal/upstream/cold.go
+++ b/internal/upstream/cold.go
@@ -11,6 +11,9 @@
 	// which the upstream may have become cold. At two, one lost announcement is a gap, and one
 	// that is late is none.
 	gapIntervals = 2
+	// answerTime is the time in which a healthy upstream answers a health probe, with a margin
+	// for a busy host.
+	answerTime = 100 * time.Millisecond
 )
 
 // coldState tells whether the upstream is cold. An upstream can become cold at any moment,
@@ -36,6 +39,7 @@
 	noCheck        coldCheck = iota
 	checkNow                 // as soon as possible
 	checkOnContact           // when the upstream is heard of again: it cannot be reached
+	checking                 // the health path is being asked
 )
 
 // SetColdStart sets how long an upstream is cold after a start.
@@ -89,9 +93,22 @@
 // ColdCheckDue reports whether the health path is to be asked whether the upstream is cold.
 func (t *Tracker) ColdCheckDue() bool { return t.known && t.cold.check == checkNow }
 
+// ColdAnswerExpected reports whether a health probe is likely to tell very soon whether the
+// upstream is cold.
+func (t *Tracker) ColdAnswerExpected(now time.Duration) bool {
+	return t.SuspectedCold(now) && (t.cold.check == checkNow || t.cold.check == checking) && now-t.cold.suspectedAt < answerTime
+}
+
 // BeginColdCheck records that a health probe is sent.
 func (t *Tracker) BeginColdCheck(now time.Duration) {
-	t.cold.check, t.cold.checkedAt, t.cold.checked = noCheck, now, true
+	t.cold.check, t.cold.checkedAt, t.cold.checked = checking, now, true
+}
+
+// EndColdCheck records that a health probe has ended, whether or not it was answered.
+func (t *Tracker) EndColdCheck() {
+	if t.cold.check == checking {
+		t.cold.check = noCheck
+	}
 }
 
 // HandleColdProbe records what the response to a health probe tells: how much longer the
@@ -114,7 +131,7 @@
 // RecordColdProbeFailed records that a health probe did not reach the upstream. It is repeated when the
 // upstream is heard of again.
 func (t *Tracker) RecordColdProbeFailed() {
-	if t.cold.suspected && t.cold.check == noCheck {
+	if t.cold.suspected && t.cold.check != checkNow {
 		t.cold.check = checkOnContact
 	}
 }
