upstream: Ask at once after a reset connection

After a reset, the limit applied until the next response and only then a probe was sent, which refuses requests of upstreams that break off often but live. The probe is now sent at once, so that requests wait for its answer. If its connection is refused, the upstream counts as down before a request finds out.

The capacity that the cut counts for a cold upstream uses the latency from before its restart until the first request has completed; it was that of a warm upstream for about a second.

--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -124,10 +124,11 @@
 	})
 	if err != nil {
 		n.cfg.Log.Write(eventlog.Observation, "probe failed", "address", n.cfg.UpstreamAddress, "err", err)
-		n.mu.Lock()
-		defer n.mu.Unlock()
 		if failure := (*exchange.Failure)(nil); errors.As(err, &failure) && !failure.Sent {
-			n.tracker.RecordColdProbeFailed()
+			n.mu.Lock()
+			n.tracker.RecordProbeRefused(n.now())
+			n.refreshCold(n.now())
+			n.mu.Unlock()
 		}
 		return
 	}
--- a/internal/slots/cold_test.go
+++ b/internal/slots/cold_test.go
@@ -70,6 +70,7 @@
 	g.SetSpill(true)
 	g.Arrive(0, Request{LatestStart: second, Deadline: second})
 	g.Done(50*time.Millisecond, true)
+	g.Reset()
 	g.SetColdLimit(0, coldPerSecond, coldTolerated)
 	if v, _ := g.Arrive(0, Request{LatestStart: second, Deadline: second}); v != Refuse || g.Capacity() > 1 {
 		t.Errorf("cold: verdict is %v and capacity %v, want Refuse and less than one slot", v, g.Capacity())
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -78,9 +78,11 @@
 	queued  int                       // requests in the queues
 	byID    map[uint64]*queuedRequest // queued requests
 	latency float64                   // moving average of the time from the start to the end of a request, ns
-	grownAt time.Duration             // time up to which growth has been added to limit
-	rate    rate                      // limit on the requests per second
-	spills  bool                      // requests that the rate limit holds back are refused and not queued
+	// earlierLatency is the average before the upstream restarted.
+	earlierLatency float64
+	grownAt        time.Duration // time up to which growth has been added to limit
+	rate           rate          // limit on the requests per second
+	spills         bool          // requests that the rate limit holds back are refused and not queued
 	// provisional is set while the rate limit is likely to be lifted or confirmed very soon.
 	provisional bool
 	// awaitsAnswer is set until the upstream has answered. askedAt is the time of the first
@@ -109,6 +111,9 @@
 // Reset discards the limits and the latency learned before the upstream restarted.
 func (g *Gate) Reset() {
 	g.limit = g.maxLimit()
+	if g.latency > 0 {
+		g.earlierLatency = g.latency
+	}
 	g.latency = 0
 	g.rate.reset()
 	g.awaitsAnswer = false
@@ -160,10 +165,14 @@
 // many as its limits allow. A provisional limit does not count: a cut that follows from it
 // would outlast it.
 func (g *Gate) Capacity() float64 {
-	if g.rate.limit() == 0 || g.latency == 0 || g.provisional {
+	latency := g.latency
+	if latency == 0 && g.rate.cold > 0 {
+		latency = g.earlierLatency // a cold upstream completes the first request late
+	}
+	if g.rate.limit() == 0 || latency == 0 || g.provisional {
 		return float64(g.Limit())
 	}
-	return min(float64(g.Limit()), g.rate.limit()*time.Duration(g.latency).Seconds())
+	return min(float64(g.Limit()), g.rate.limit()*time.Duration(latency).Seconds())
 }
 
 // TimeoutReason returns the reason why a queued request has not started in time.
--- a/internal/upstream/cold.go
+++ b/internal/upstream/cold.go
@@ -72,13 +72,13 @@
 }
 
 // RecordReset records that the upstream ended a connection instead of responding, as one that
-// crashes does. Some upstreams do so often, so it is ignored for an announcement interval after
-// a health probe: that the upstream has crashed shows by refused connections, too.
+// crashes does. A health probe is due. Some upstreams do so often, so it is ignored for an
+// announcement interval after a health probe: a crash shows by refused connections, too.
 func (t *Tracker) RecordReset(now time.Duration) {
 	if t.cold.checked && now-t.cold.checkedAt < t.cfg.AnnounceInterval {
 		return
 	}
-	t.suspectCold(now, checkOnContact)
+	t.suspectCold(now, checkNow)
 }
 
 // detectGap suspects the upstream to be cold if it has not announced itself for too long.
@@ -128,11 +128,11 @@
 	t.cold.until, t.cold.suspected, t.cold.check = 0, false, noCheck
 }
 
-// RecordColdProbeFailed records that a health probe did not reach the upstream. It is repeated when the
-// upstream is heard of again.
-func (t *Tracker) RecordColdProbeFailed() {
-	if t.cold.suspected && t.cold.check != checkNow {
-		t.cold.check = checkOnContact
+// RecordProbeRefused records that the upstream did not accept the connection of a health probe.
+// If the probe was due to a suspicion, the upstream is down.
+func (t *Tracker) RecordProbeRefused(now time.Duration) {
+	if t.cold.check == checking {
+		t.RecordRefusedConnection(now)
 	}
 }
 
