Take a health response without Cold-Ms for that of a warm upstream

Back ends send the header only while they are cold, but the answer to a health probe ended a suspicion only if the header was there.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -39,8 +39,8 @@
 	// ParseRateLimit parses the value of the RateLimit header, in requests per second. It
 	// returns false if the header is missing or malformed.
 	ParseRateLimit func(string) (float64, bool)
-	// ParseCold parses the value of the ProbeCold header. It returns false if the header is
-	// missing or malformed.
+	// ParseCold parses the value of the ProbeCold header, which is empty if the header is
+	// missing. It returns false if the value does not tell whether the upstream is cold.
 	ParseCold func(string) (time.Duration, bool)
 }
 
