Accept each Grant of tokens once

A Grant that arrived twice added its tokens twice. Control messages will be sent once more if their connection turns out to be silent. Each Ask now has a round of its own, also over restarts of the node, and only the first Grant for it counts.

TestRepeatedMessagesCreateNoTokens failed before with 221 tokens after one admitted request, of 220 before it.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -8,7 +8,8 @@
 // holders, so that the bucket of each holds several requests. A node whose bucket is
 // empty borrows tokens from other nodes, so that a request within the rate is not refused
 // because the tokens are elsewhere. Tokens only move between nodes: a lost message
-// destroys some and never creates any. The excess that the operator tolerates covers
+// destroys some and never creates any, and neither does one that arrives twice: each Ask is
+// granted once. The excess that the operator tolerates covers
 // changes of shares that some nodes do not know yet.
 package ratelimit
 
@@ -66,6 +67,9 @@
 	// place. If a partition hides a live holder, both then have a share.
 	holderTimeout    = 10 * time.Second
 	tokensPerRequest = 1.0
+	// maxOpenAsks is the number of Asks of a bucket whose Grants are accepted. Asks that are not
+	// answered are 40 ms apart at least, so a Grant may be a second late.
+	maxOpenAsks = 32
 	// minShareRate is the least share of the rate, in requests per second, by which
 	// DemandRatio divides, since a node that only borrows has no share.
 	minShareRate = 0.1
@@ -110,7 +114,7 @@
 type Ask struct {
 	Workspace mesh.Workspace
 	Amount    float64 // tokens
-	Round     uint64  // counts the Asks of the node for the workspace
+	Round     uint64  // differs between all Asks of the node
 }
 
 // Grant is the reply to the Ask with the same Round. Amount, in tokens, may be zero.
@@ -147,6 +151,7 @@
 	fleet      []Node // the other nodes
 	liveHash   uint64 // of the other nodes that could be holders at the last SetFleet
 	fleetKnown bool   // SetFleet was called
+	lastRound  uint64
 	outgoing   []mesh.Outgoing
 	decisions  []Decision
 }
@@ -168,6 +173,7 @@
 	intervalStart   time.Duration
 	waiting         []uint64 // requests that wait for borrowed tokens
 	round           uint64   // of the last Ask
+	openAsks        []uint64 // rounds of the last Asks without a Grant, oldest first
 	lender          int      // index in lenders of the one that was asked last
 	awaitingGrant   bool     // the Grant for the last Ask has not arrived
 	tries           int      // lenders asked since the last one that had tokens
@@ -180,6 +186,9 @@
 func New(self mesh.Member, t Tolerance, seed uint64) *Limiter {
 	return &Limiter{
 		self: self, tolerance: t, random: rand.New(rand.NewPCG(seed, 3)), buckets: map[mesh.Workspace]*bucket{},
+		// Later incarnations have a higher number, so that a late Grant for an earlier one is not
+		// taken for that for an Ask of this one.
+		lastRound: uint64(self.Node.Incarnation),
 	}
 }
 
@@ -387,7 +396,9 @@
 	}
 	b.tries++
 	b.lender = (b.lender + 1) % len(b.lenders)
-	b.round++
+	l.lastRound++
+	b.round = l.lastRound
+	b.openAsks = append(b.openAsks[max(len(b.openAsks)+1-maxOpenAsks, 0):], b.round)
 	b.askedAt, b.awaitingGrant = now, true
 	l.outgoing = append(l.outgoing, mesh.Outgoing{To: b.lenders[b.lender], Message: Ask{
 		Workspace: b.limit.Workspace, Round: b.round,
@@ -430,6 +441,11 @@
 	if b == nil {
 		return
 	}
+	i := slices.Index(b.openAsks, m.Round)
+	if i < 0 {
+		return // the Grant has arrived before: its sender did not get the acknowledgement
+	}
+	b.openAsks = slices.Delete(b.openAsks, i, i+1)
 	b.accrue(now)
 	b.tokens += m.Amount
 	for len(b.waiting) > 0 && b.tokens >= tokensPerRequest {
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -356,3 +356,44 @@
 		t.Error("a workspace without a limit was refused")
 	}
 }
+
+// Messages are sent once more if their connection turns out to be silent. A Grant that arrives
+// twice must not create tokens, and neither must one for an earlier incarnation of the node.
+func TestRepeatedMessagesCreateNoTokens(t *testing.T) {
+	f := newFleet(2, []Limit{{Workspace: "w", RatePerSecond: 40, Burst: 400}}, 1)
+	f.now = time.Minute
+	lender, borrower := f.limiters[0], f.limiters[1]
+	held := func() float64 {
+		for _, l := range f.limiters {
+			l.buckets["w"].accrue(f.now)
+		}
+		return lender.buckets["w"].tokens + borrower.buckets["w"].tokens
+	}
+	held()
+	borrower.buckets["w"].tokens = 0
+	if got := borrower.Take(f.now, "w", 1); got != Waiting {
+		t.Fatalf("a request without tokens got %v, want Waiting", got)
+	}
+	before := held()
+	asks := borrower.Outgoing()
+	lender.Deliver(f.now, f.members[1], asks[0].Message)
+	lender.Deliver(f.now, f.members[1], asks[0].Message)
+	grants := lender.Outgoing()
+	for _, o := range append(grants, grants...) {
+		borrower.Deliver(f.now, f.members[0], o.Message)
+	}
+	if after := held(); len(borrower.Decisions()) != 1 || after > before-tokensPerRequest {
+		t.Errorf("%v tokens after one admitted request and repeated messages, %v before", after, before)
+	}
+	restarted := f.members[1]
+	restarted.Node.Incarnation += 1_000_000
+	next := New(restarted, tolerance, 1)
+	next.SetFleet(f.now, nil, []Node{{Member: f.members[0]}})
+	next.SetLimits(f.now, []Limit{{Workspace: "w", RatePerSecond: 40, Burst: 400}})
+	next.buckets["w"].tokens = 0
+	next.Take(f.now, "w", 1)
+	next.Deliver(f.now, f.members[0], grants[0].Message)
+	if tokens := next.buckets["w"].tokens; tokens != 0 {
+		t.Errorf("a Grant for an earlier incarnation gave %v tokens, want none", tokens)
+	}
+}
