Send control messages once more if their connection is silent

A batch on a connection that had gone silent was dropped after 2 s, and each other connection that had gone silent at the same moment took 2 s again. A declaration takes three messages for each hop.

A batch that is not acknowledged within 0.3 s (up to 1 s if the peer was slow before, and longer for large batches) is sent once more on a new connection. If that is acknowledged at once, connections without an acknowledgement since are replaced before their next use. Control connections have the keep-alive and TCP_USER_TIMEOUT of package exchange, and writes have a deadline: a large batch once blocked in its write without limit.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -162,9 +162,12 @@
 	p.idle = kept
 }
 
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{
-		Timeout: p.cfg.DialTimeout,
+// NewDialer returns a dialer of connections that end soon if the other host has disappeared
+// without a reset. The keep-alive and TCP_USER_TIMEOUT do not reveal a connection on which
+// only the data is lost while segments are still acknowledged.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
@@ -179,10 +182,13 @@
 			return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 		},
 	}
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.mu.Lock()
 	generation := p.generation
 	p.mu.Unlock()
-	netConn, err := d.DialContext(ctx, "tcp", p.cfg.Address)
+	netConn, err := NewDialer(p.cfg.DialTimeout).DialContext(ctx, "tcp", p.cfg.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", p.cfg.Address)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 )
 
@@ -22,8 +24,22 @@
 	maxQueued = 1024 // messages that wait for one peer
 	maxBatch  = 256  // messages in one call
 	// dialTimeout limits the TCP connect, and separately the handshakes after it.
-	dialTimeout    = time.Second
-	deliverTimeout = 2 * time.Second // for one call
+	dialTimeout = time.Second
+	// silenceTimeout is how long a call may remain without acknowledgement before its
+	// connection is taken for silent. Nodes acknowledge within milliseconds, those of other
+	// data centres within a tenth of a second. A declaration reaches a node in three messages,
+	// which the users' platform grants two seconds together.
+	silenceTimeout = 300 * time.Millisecond
+	// maxSilenceTimeout bounds the limit for a peer that acknowledges slowly.
+	maxSilenceTimeout = time.Second
+	// bytesPerMillisecond is the rate that a peer needs at least to read and handle a large
+	// batch: a declaration of 8 MB may take 0.8 s longer.
+	bytesPerMillisecond = 10_000
+	deliverTimeout      = 2 * time.Second // for the second call, on a new connection
+	// suspicionInterval is the least time between two silences that make other connections
+	// suspect. It bounds the rate of new connections if peers that are short of processor time
+	// are taken for silent connections.
+	suspicionInterval = 2 * time.Second
 	// defaultIdleTimeout is the time without messages to a peer after which its
 	// goroutine and connection end.
 	defaultIdleTimeout = time.Minute
@@ -39,23 +55,32 @@
 	// Unreachable is called with the receiver of each batch that could not be
 	// delivered, unless the receiver is known only by its address. It may be nil.
 	Unreachable func(mesh.NodeID)
-	Metrics     metrics.Registry
-	Seed        uint64        // for the jitter of the backoff
-	Idle        time.Duration // after which an unused connection is closed; zero means a minute
+	// Silent is called with the receiver of each batch that was not acknowledged on one
+	// connection but at once on a new one. It may be nil.
+	Silent  func(mesh.NodeID)
+	Metrics metrics.Registry
+	Seed    uint64        // for the jitter of the backoff
+	Idle    time.Duration // after which an unused connection is closed; zero means a minute
 }
 
-// Client sends control messages, over one connection per peer.
+// Client sends control messages, over one connection per peer. Open connections can go silent
+// without being closed, many at one moment. A batch that is not acknowledged soon is therefore
+// sent once more, on a new connection, so that a receiver may get a message twice. If that
+// succeeds, connections that have not carried an acknowledgement since are not used again.
 type Client struct {
 	cfg                      Config
 	sent, dropped, sentBytes metrics.Counter // sent and dropped count messages; bytes are counted before encryption
+	silent, suspected        metrics.Counter // connections found silent, and closed because others were
 
-	mu     sync.Mutex
-	queues map[string]*queue // by peer address
-	closed bool
-	done   chan struct{}   // closed by Close
-	ctx    context.Context // ended by Close
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	mu            sync.Mutex
+	queues        map[string]*queue // by peer address
+	suspectBefore time.Time         // connections without an acknowledgement since are not used
+	suspectedAt   time.Time         // when suspectBefore was set
+	closed        bool
+	done          chan struct{}   // closed by Close
+	ctx           context.Context // ended by Close
+	cancel        context.CancelFunc
+	wg            sync.WaitGroup
 }
 
 // NewClient returns a client without connections.
@@ -72,6 +97,8 @@
 		sent:      counter("peer.sent.messages"),
 		dropped:   counter("peer.dropped.messages"),
 		sentBytes: counter("peer.sent.bytes"),
+		silent:    counter("peer.silent_connections"),
+		suspected: counter("peer.suspect_connections"),
 		queues:    map[string]*queue{},
 		done:      make(chan struct{}),
 	}
@@ -154,6 +181,16 @@
 type peerConn struct {
 	host mesh.Host   // for which the certificate was checked
 	rpc  *rpc.Client // nil if there is no connection
+	conn *countedConn
+	// acknowledgedAt is the time of the last acknowledgement, or of the handshake.
+	acknowledgedAt time.Time
+	// slowest is the longest time until a recent acknowledgement, an eighth less with each.
+	slowest time.Duration
+}
+
+// silenceLimit returns the time after which the connection is taken for silent.
+func (pc *peerConn) silenceLimit() time.Duration {
+	return min(max(silenceTimeout, 3*pc.slowest), maxSilenceTimeout)
 }
 
 func (pc *peerConn) close() {
@@ -220,56 +257,105 @@
 	}
 }
 
-// deliver sends a batch and waits for the acknowledgement. If the peer has closed the idle
-// connection, for example because it restarted, the batch is sent on a new one.
+// Suspect prevents the use of connections that have not carried an acknowledgement since the
+// given time: they may have gone silent.
+func (c *Client) Suspect(before time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.suspectedAt) >= suspicionInterval {
+		c.suspectBefore, c.suspectedAt = before, now
+	}
+}
+
+// closeSuspect closes a connection that may have gone silent.
+func (c *Client) closeSuspect(pc *peerConn) {
+	c.mu.Lock()
+	before := c.suspectBefore
+	c.mu.Unlock()
+	if pc.rpc != nil && pc.acknowledgedAt.Before(before) {
+		c.suspected.Inc(1)
+		pc.close()
+	}
+}
+
+// deliver sends a batch and waits for the acknowledgement. The batch is sent once more, on a
+// new connection, if the peer has closed the idle connection, for example because it
+// restarted, or if the connection seems to be silent.
 func (c *Client) deliver(address string, to mesh.Member, batch []mesh.Envelope, pc *peerConn) error {
+	c.closeSuspect(pc)
 	reused := pc.rpc != nil
-	err := c.deliverOnce(address, to, batch, pc)
+	began := time.Now()
+	err := c.deliverOnce(address, to, batch, pc, pc.silenceLimit())
+	silent := errors.Is(err, errUnacknowledged)
 	// net/rpc returns ErrShutdown if it had seen the end of the connection before the call,
 	// so that the batch was not sent.
-	if reused && errors.Is(err, rpc.ErrShutdown) && c.ctx.Err() == nil {
-		return c.deliverOnce(address, to, batch, pc)
+	if c.ctx.Err() != nil || !silent && !(reused && errors.Is(err, rpc.ErrShutdown)) {
+		return err
+	}
+	err = c.deliverOnce(address, to, batch, pc, deliverTimeout)
+	// A peer that is only slow does not acknowledge soon on the new connection either.
+	if silent && err == nil && pc.slowest < silenceTimeout {
+		c.silent.Inc(1)
+		c.Suspect(began)
+		if !to.Node.IsZero() && c.cfg.Silent != nil {
+			c.cfg.Silent(to.Node)
+		}
 	}
 	return err
 }
 
+// errUnacknowledged is the cause of the error if a batch was not acknowledged in time.
+var errUnacknowledged = errors.New("the batch was not acknowledged")
+
 // deliverOnce makes one attempt to deliver a batch. It connects first if there is no
 // connection or its certificate was checked for another host, and closes the connection
 // after an error.
-func (c *Client) deliverOnce(address string, to mesh.Member, batch []mesh.Envelope, pc *peerConn) error {
+func (c *Client) deliverOnce(address string, to mesh.Member, batch []mesh.Envelope, pc *peerConn, limit time.Duration) error {
 	if pc.rpc != nil && pc.host != to.Node.Host {
 		pc.close()
 	}
 	if pc.rpc == nil {
-		client, err := c.dial(address, to.Node.Host)
+		conn, err := c.dial(address, to.Node.Host)
 		if err != nil {
 			return err
 		}
-		pc.rpc, pc.host = client, to.Node.Host
+		pc.conn = &countedConn{Conn: conn, written: c.sentBytes}
+		pc.rpc, pc.host, pc.acknowledgedAt = rpc.NewClient(pc.conn), to.Node.Host, time.Now()
 	}
-	timer := time.NewTimer(deliverTimeout)
-	defer timer.Stop()
+	began := time.Now()
+	// Writing blocks if the connection is silent and the batch is larger than its buffers. An
+	// error of SetWriteDeadline shows in the call, too.
+	_ = pc.conn.SetWriteDeadline(began.Add(max(limit, maxSilenceTimeout)))
+	before := pc.conn.total
 	call := pc.rpc.Go(deliverMethod, batch, &Ack{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(limit + time.Duration((pc.conn.total-before)/bytesPerMillisecond)*time.Millisecond)
+	defer timer.Stop()
 	var err error
 	select {
 	case <-call.Done:
 		err = call.Error
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errors.Wrapf(errUnacknowledged, "peer %s: %v", address, err)
+		}
 	case <-timer.C:
-		err = errors.Errorf("peer %s did not acknowledge a batch within %s", address, deliverTimeout)
+		err = errors.Wrapf(errUnacknowledged, "peer %s, within %s", address, limit)
 	case <-c.done:
 		err = rpc.ErrShutdown
 	}
 	if err != nil {
 		pc.close()
+		return err
 	}
-	return err
+	pc.acknowledgedAt = time.Now()
+	pc.slowest = max(pc.acknowledgedAt.Sub(began), pc.slowest-pc.slowest/8)
+	return nil
 }
 
 // dial connects to the address and checks that the peer's certificate names the host.
-func (c *Client) dial(address string, host mesh.Host) (*rpc.Client, error) {
+func (c *Client) dial(address string, host mesh.Host) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := exchange.NewDialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to peer %s", host)
 	}
@@ -290,7 +376,7 @@
 		conn.Close()
 		return nil, errors.Wrapf(err, "clear the deadline of the connection to peer %s", host)
 	}
-	return rpc.NewClient(&countedConn{Conn: conn, written: c.sentBytes}), nil
+	return conn, nil
 }
 
 // handshake performs the TLS handshake, which checks the peer's certificate, and
--- a/internal/peer/receiver.go
+++ b/internal/peer/receiver.go
@@ -132,6 +132,7 @@
 type countedConn struct {
 	net.Conn
 	read, written metrics.Counter // not counted if nil
+	total         int64           // bytes written; for the goroutine that writes
 }
 
 // Read implements net.Conn.
@@ -146,6 +147,7 @@
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
+	c.total += int64(n)
 	if c.written != nil {
 		c.written.Inc(int64(n))
 	}
