Repeat the first lost read of the declaration at once

Connections between nodes and to the store go silent together. The reader that waits for the shortest time lost its read after at most 1.3 s and then paused until 2 s had passed, although the store answers on new connections.

The first read that the store does not answer is repeated without a pause; later ones keep their distance. This costs one call for each outage of the store and reader, and none in calm.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -11,14 +11,17 @@
 
 // network simulates rosters that exchange messages in virtual time.
 type network struct {
-	now          time.Duration
-	random       *rand.Rand
-	rosters      map[mesh.Host]*Roster
-	down         map[mesh.Host]bool    // hosts that neither send nor receive messages
-	queue        []delivery            // messages in transit
-	sent         int                   // messages, including lost ones
-	links        map[[2]mesh.Host]bool // sender and receiver of each message sent
-	declarations map[mesh.Host]uint64  // version of the declaration that each host holds
+	now     time.Duration
+	random  *rand.Rand
+	rosters map[mesh.Host]*Roster
+	down    map[mesh.Host]bool    // hosts that neither send nor receive messages
+	queue   []delivery            // messages in transit
+	sent    int                   // messages, including lost ones
+	links   map[[2]mesh.Host]bool // sender and receiver of each message sent
+	// silentLinks are those whose connection is silent, with the time at which it is replaced;
+	// zero until the sender has found that out.
+	silentLinks  map[[2]mesh.Host]time.Duration
+	declarations map[mesh.Host]uint64 // version of the declaration that each host holds
 	isCut        func(a, b mesh.Host) bool
 	onSend       func(from mesh.Host, o mesh.Outgoing)
 	onStep       func()
@@ -47,7 +50,7 @@
 func newNetwork(nodes int, seed uint64) *network {
 	n := &network{
 		random: rand.New(rand.NewPCG(seed, 1)), rosters: map[mesh.Host]*Roster{}, down: map[mesh.Host]bool{}, declarations: map[mesh.Host]uint64{},
-		links: map[[2]mesh.Host]bool{},
+		links: map[[2]mesh.Host]bool{}, silentLinks: map[[2]mesh.Host]time.Duration{},
 	}
 	for i := range nodes {
 		m := member(i, 1)
@@ -66,6 +69,7 @@
 		}
 		n.links[[2]mesh.Host{from, o.To.Node.Host}] = true
 		d := delivery{n.now + time.Duration(1+n.random.IntN(5))*time.Millisecond, n.rosters[from].Self().Member.Node, o.To.Node, false, o.Message}
+		d.at = max(d.at, n.replaced(from, o.To.Node.Host))
 		if n.cut(from, o.To.Node.Host) {
 			d.at, d.lost = n.now+ackTimeout, true
 		}
@@ -73,6 +77,20 @@
 	}
 }
 
+// replaced returns the time at which the connection between two hosts carries messages, if it
+// is silent. A host that finds one of its connections silent replaces all that may be.
+func (n *network) replaced(from, to mesh.Host) time.Duration {
+	if at, silent := n.silentLinks[[2]mesh.Host{from, to}]; !silent || at > 0 {
+		return at
+	}
+	for link, at := range n.silentLinks {
+		if link[0] == from && at == 0 {
+			n.silentLinks[link] = n.now + replaceTime
+		}
+	}
+	return n.now + replaceTime
+}
+
 // run advances the virtual time by length, in steps of 10 ms.
 func (n *network) run(length time.Duration) {
 	for end := n.now + length; n.now < end; n.now += 10 * time.Millisecond {
--- a/internal/roster/scale_test.go
+++ b/internal/roster/scale_test.go
@@ -33,6 +33,7 @@
 	idle    time.Duration
 	open    bool
 	lost    bool          // the store has dropped the open read
+	stale   bool          // the connection for the next read is silent
 	opened  time.Duration // when the open read began
 	plan    watch.Read
 	view    watch.View
@@ -105,7 +106,7 @@
 			continue
 		}
 		f.reads++
-		s.open, s.lost, s.opened = true, false, f.now
+		s.open, s.lost, s.stale, s.opened = true, s.stale, false, f.now
 	}
 }
 
@@ -117,7 +118,7 @@
 	switch {
 	case s.lost && elapsed >= s.plan.Limit():
 		s.planner.Unanswered()
-		f.failRead(host, s, s.plan.RetryPause(s.view))
+		f.failRead(host, s, s.planner.RetryPause(s.plan, s.view))
 	case s.lost || elapsed < storeLatency:
 	case f.refused(host):
 		s.planner.Answered()
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -62,9 +62,10 @@
 		}
 		storeLost = storeLost || err != nil
 		if err != nil {
-			pause := plan.RetryPause(view) // no backoff, because this read took long enough
+			var pause time.Duration
 			if errors.Is(err, context.DeadlineExceeded) {
 				planner.Unanswered()
+				pause = planner.RetryPause(plan, view) // no backoff, because this read took long enough
 			} else {
 				planner.Answered()
 				pause = max(watch.RefusalPause(view), backoff.Next())
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -1,7 +1,7 @@
 // Package watch plans the reads by which the nodes of a fleet learn of a new declaration
 // from the store.
 //
-// It handles four load patterns. Several declarations in quick succession must not cost a
+// It handles five load patterns. Several declarations in quick succession must not cost a
 // read of each by every node: in each data centre a few nodes, the readers, keep a read open
 // at the store, and the others learn from them. The store may stop answering, or turn some
 // nodes away, and peers may be lost or cut off: a node reads by itself once the knowledge
@@ -12,6 +12,8 @@
 // wait, until the store answers again. And the store may answer none of the readers, but other
 // nodes: one reader of each data centre waits for a very short time, and if it is not answered,
 // the others read once, until the store answers one of them, which then reads in its place.
+// Open connections may go silent while new ones work: a lost read is repeated once without a
+// pause.
 package watch
 
 import (
@@ -158,9 +160,16 @@
 	return Read{AnswerLimit: promptAnswerLimit, Check: true}
 }
 
-// RetryPause returns the least pause after the read if the store did not answer it in time. A
-// reader must find out soon that the store answers it again, so the time of the read counts.
-func (r Read) RetryPause(v View) time.Duration { return max(ErrorPause(v)-r.Limit(), 0) }
+// RetryPause returns the least pause after a read that the store did not answer in time, once
+// that is recorded. The first such read is repeated at once, on another connection: its own may
+// have gone silent while the store answers on new ones. A reader must find out soon that the
+// store answers it again, so the time of the read counts.
+func (p *Planner) RetryPause(r Read, v View) time.Duration {
+	if p.unanswered == 1 {
+		return 0
+	}
+	return max(ErrorPause(v)-r.Limit(), 0)
+}
 
 // ErrorPause returns the least time from the start of a read that has failed to the next one.
 func ErrorPause(v View) time.Duration {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// The connections of all readers may go silent at one moment while new ones work. One reader of
+// each data centre must have an answer on a new connection soon enough for its peers to have the
+// declaration within the 3 s that the platform grants: it once paused until 2 s had passed. Reads
+// after the second lost one keep their distance, so that a silent store costs few calls.
+func TestLostReadIsRepeatedAtOnce(t *testing.T) {
+	v := View{Uptime: time.Minute, Rank: readers - 1, Age: time.Second}
+	for seed := range uint64(100) {
+		p := NewPlanner(seed)
+		first := p.Next(v)
+		p.Unanswered()
+		if pause := p.RetryPause(first, v); first.Limit()+pause > 1300*time.Millisecond {
+			t.Fatalf("a lost read of %v is repeated after a pause of %v, want 1.3 s together at most", first.Limit(), pause)
+		}
+		second := p.Next(v)
+		p.Unanswered()
+		if pause := p.RetryPause(second, v); second.Limit()+pause < 2*time.Second {
+			t.Fatalf("the second lost read of %v is repeated after a pause of %v, want 2 s together at least", second.Limit(), pause)
+		}
+	}
+}
+
 // While the store answers nothing, a reader must neither flood it nor stop asking.
 func TestReadsWhileTheStoreIsSilent(t *testing.T) {
 	p, v, reads := NewPlanner(1), reader, 0
@@ -99,7 +120,7 @@
 		v.Age = now
 		plan := p.Next(v)
 		p.Unanswered()
-		now += plan.Delay + plan.Limit() + plan.RetryPause(v)
+		now += plan.Delay + plan.Limit() + p.RetryPause(plan, v)
 	}
 	if reads < 28 || reads > 40 {
 		t.Errorf("%d reads in a minute, want 28 to 40", reads)
@@ -175,7 +196,7 @@
 			for attempt := range 10 {
 				plan := p.Next(v)
 				p.Unanswered()
-				if interval := plan.Delay + plan.Limit() + plan.RetryPause(v); attempt > 0 && interval > 2200*time.Millisecond {
+				if interval := plan.Delay + plan.Limit() + p.RetryPause(plan, v); attempt > 0 && interval > 2200*time.Millisecond {
 					t.Errorf("rank %d, knowledge of age %v: read %d is repeated after %v, want 2.2 s", rank, age, attempt, interval)
 				}
 			}
