Trust no idle connection once another one was silent

Connections go silent together, but each was found silent on its own: a request on an idle one waited until its deadline and got 504, and the write of a departure took 2 s, so that it was acknowledged while only peers held it.

When a control message or a read of the declaration shows that a connection was silent, idle connections to peers and the upstream without a response since are closed, at most once in 2 s, and control connections without an acknowledgement since are replaced. The first attempt to write a departure ends after 0.2 s, so that a second one fits into the 0.4 s that the acknowledgement waits.

A slow peer is not taken for a silent connection (TestSlowPeerIsNotTakenForASilentConnection).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -98,7 +98,7 @@
 		var timeout interface{ Timeout() bool }
 		timedOut := (errors.As(err, &timeout) && timeout.Timeout()) || errors.Is(ctx.Err(), context.DeadlineExceeded)
 		if timedOut {
-			p.closeUnusedSince(began)
+			p.CloseUnusedSince(began)
 		}
 		return nil, &Failure{Sent: sent, Timeout: timedOut, Cause: errors.Wrapf(err, "%s %s", r.Method, p.cfg.Address)}
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -226,8 +226,9 @@
 	p.idle = nil
 }
 
-// closeUnusedSince closes the idle connections whose last response came before the given time.
-func (p *Pool) closeUnusedSince(t time.Time) {
+// CloseUnusedSince closes the idle connections whose last response came before the given time.
+// They may have gone silent.
+func (p *Pool) CloseUnusedSince(t time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -56,8 +56,9 @@
 	// delivered, unless the receiver is known only by its address. It may be nil.
 	Unreachable func(mesh.NodeID)
 	// Silent is called with the receiver of each batch that was not acknowledged on one
-	// connection but at once on a new one. It may be nil.
-	Silent  func(mesh.NodeID)
+	// connection but at once on a new one, and the time at which it was sent first. It may be
+	// nil.
+	Silent  func(to mesh.NodeID, sent time.Time)
 	Metrics metrics.Registry
 	Seed    uint64        // for the jitter of the backoff
 	Idle    time.Duration // after which an unused connection is closed; zero means a minute
@@ -298,7 +299,7 @@
 		c.silent.Inc(1)
 		c.Suspect(began)
 		if !to.Node.IsZero() && c.cfg.Silent != nil {
-			c.cfg.Silent(to.Node)
+			c.cfg.Silent(to.Node, began)
 		}
 	}
 	return err
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -2,99 +2,32 @@
 
 import (
 	"net"
-	"sync"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/standin/silence"
 )
 
-// silentProxy forwards connections to a target. Connections that were open when silence was
-// called carry nothing from then on, in either direction, and are not closed.
-type silentProxy struct {
-	target string
-	mu     sync.Mutex
-	open   []*link
-}
-
-// link is one connection through the proxy. After stall, it is not read either.
-type link struct{ silent, stalled bool }
-
-// silentProxyTo starts a proxy for the member and returns the member under which the proxy
-// is reached.
-func silentProxyTo(t *testing.T, m mesh.Member) (*silentProxy, mesh.Member) {
+// serveSilenceable serves a receiver on connections that can go silent, and returns its listener
+// and the member under which it is reached.
+func serveSilenceable(t *testing.T, deliver func(mesh.Envelope)) (*silence.Listener, mesh.Member) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	p := &silentProxy{target: m.PeerAddress}
-	go func() {
-		for {
-			client, err := l.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", p.target)
-			if err != nil {
-				client.Close()
-				continue
-			}
-			l := &link{}
-			p.mu.Lock()
-			p.open = append(p.open, l)
-			p.mu.Unlock()
-			go p.forward(server, client, l)
-			go p.forward(client, server, l)
-		}
-	}()
-	m.PeerAddress = l.Addr().String()
-	return p, m
-}
-
-func (p *silentProxy) forward(to, from net.Conn, l *link) {
-	defer to.Close()
-	defer from.Close()
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		p.mu.Lock()
-		state := *l
-		p.mu.Unlock()
-		switch {
-		case state.stalled:
-			time.Sleep(waitTimeout)
-		case !state.silent:
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-	}
-}
-
-// silence makes the open connections silent and returns how many there were.
-func (p *silentProxy) silence() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.open {
-		l.silent = true
-	}
-	return len(p.open)
-}
-
-// stall makes the proxy read nothing more of the open connections.
-func (p *silentProxy) stall() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.open {
-		l.stalled = true
-	}
+	l, r := &silence.Listener{Listener: inner}, NewReceiver(metrics.NewRegistry(), deliver)
+	server := &http.Server{Handler: r}
+	go server.Serve(l)
+	t.Cleanup(func() {
+		server.Close()
+		r.Close()
+	})
+	return l, mesh.Member{Node: remote, PeerAddress: l.Addr().String()}
 }
 
 // sendAndAwait sends a message, waits until it is acknowledged and returns how long it took to
@@ -117,11 +50,10 @@
 // message itself was dropped.
 func TestMessageOnASilentConnectionArrives(t *testing.T) {
 	got, unreachable := make(chan mesh.Envelope, 8), make(chan mesh.NodeID, 8)
-	member := serveReceiver(t, nil, NewReceiver(metrics.NewRegistry(), func(e mesh.Envelope) { got <- e }))
-	proxy, member := silentProxyTo(t, member)
+	network, member := serveSilenceable(t, func(e mesh.Envelope) { got <- e })
 	c, sent := newClient(t, nil, unreachable)
 	sendAndAwait(t, c, sent, member, got, 1)
-	proxy.silence()
+	network.Silence()
 	if took := sendAndAwait(t, c, sent, member, got, 2); took > silenceTimeout+time.Second {
 		t.Errorf("a message took %s after its connection had gone silent, want about %s", took, silenceTimeout)
 	}
@@ -136,15 +68,15 @@
 func TestOneSilentConnectionMakesOthersSuspect(t *testing.T) {
 	got, unreachable := make(chan mesh.Envelope, 8), make(chan mesh.NodeID, 8)
 	c, sent := newClient(t, nil, unreachable)
-	var proxies []*silentProxy
+	var networks []*silence.Listener
 	var members []mesh.Member
 	for range 3 {
-		p, m := silentProxyTo(t, serveReceiver(t, nil, NewReceiver(metrics.NewRegistry(), func(e mesh.Envelope) { got <- e })))
-		proxies, members = append(proxies, p), append(members, m)
+		l, m := serveSilenceable(t, func(e mesh.Envelope) { got <- e })
+		networks, members = append(networks, l), append(members, m)
 		sendAndAwait(t, c, sent, m, got, len(members))
 	}
-	for _, p := range proxies {
-		p.silence()
+	for _, l := range networks {
+		l.Silence()
 	}
 	sendAndAwait(t, c, sent, members[0], got, 10)
 	eventuallyCounted(t, sent, "peer.silent_connections", 1)
@@ -154,9 +86,9 @@
 	if n := counterValue(sent, "peer.silent_connections"); n != 1 {
 		t.Errorf("%d connections were found silent by waiting, want 1", n)
 	}
-	for i, p := range proxies { // all are on their second connection now, which is kept
+	for i, l := range networks { // all are on their second connection now, which is kept
 		sendAndAwait(t, c, sent, members[i], got, 30+i)
-		if n := p.silence(); n != 2 {
+		if n := l.Silence(); n != 2 {
 			t.Errorf("%d connections to peer %d, want 2", n, i)
 		}
 	}
@@ -188,6 +120,27 @@
 	}
 }
 
+// Guards against a peer that is only short of processor time and is taken for a silent
+// connection again and again: each false alarm costs connections when there is least time.
+func TestSlowPeerIsNotTakenForASilentConnection(t *testing.T) {
+	got, unreachable := make(chan mesh.Envelope, 16), make(chan mesh.NodeID, 8)
+	network, member := serveSilenceable(t, func(e mesh.Envelope) { time.Sleep(silenceTimeout + 50*time.Millisecond); got <- e })
+	c, sent := newClient(t, nil, unreachable)
+	for number := range 4 {
+		c.Send(member, mesh.Envelope{From: self, To: remote, Message: testMessage{number}})
+		eventuallyCounted(t, sent, "peer.sent.messages", int64(number)+1)
+	}
+	if n := counterValue(sent, "peer.silent_connections"); n != 0 {
+		t.Errorf("%d silent connections counted, want none", n)
+	}
+	if n := network.Silence(); n != 2 {
+		t.Errorf("%d connections to a slow peer, want 2: only the first message is sent twice", n)
+	}
+	if len(got) != 5 {
+		t.Errorf("%d messages arrived, want 4 and one repeat", len(got))
+	}
+}
+
 func eventuallyCounted(t *testing.T, r metrics.Registry, name string, want int64) {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); counterValue(r, name) != want; time.Sleep(time.Millisecond) {
@@ -201,11 +154,10 @@
 // buffers of the connection fill up.
 func TestLargeMessageOnASilentConnectionArrives(t *testing.T) {
 	got, unreachable := make(chan mesh.Envelope, 8), make(chan mesh.NodeID, 8)
-	member := serveReceiver(t, nil, NewReceiver(metrics.NewRegistry(), func(e mesh.Envelope) { got <- e }))
-	proxy, member := silentProxyTo(t, member)
+	network, member := serveSilenceable(t, func(e mesh.Envelope) { got <- e })
 	c, sent := newClient(t, nil, unreachable)
 	sendAndAwait(t, c, sent, member, got, 1)
-	proxy.stall()
+	network.Stall()
 	large := largeMessage{Raw: make([]byte, 16<<20)}
 	began := time.Now()
 	c.Send(member, mesh.Envelope{From: self, To: remote, Message: large})
--- a/internal/sidecar/departure.go
+++ b/internal/sidecar/departure.go
@@ -17,6 +17,10 @@
 	// departureWait bounds how long the acknowledgement that the upstream leaves waits for
 	// the store. Upstreams wait a second for the acknowledgement.
 	departureWait = 400 * time.Millisecond
+	// firstDepartureLimit is the time limit of the first attempt to write a departure. If its
+	// connection has gone silent, another attempt fits into departureWait. A second write of the
+	// same departure under the same key has no effect.
+	firstDepartureLimit = 200 * time.Millisecond
 	// historyWait is the time from the start of a node in which the store or a peer is
 	// expected to tell of departures that earlier incarnations have acknowledged. It leaves
 	// peers time for several digests, in case the store is down.
@@ -58,12 +62,17 @@
 			return
 		case <-n.departures:
 		}
-		n.retryStoreCall(backoff, "publish departure", n.storeDeparture)
+		limit := firstDepartureLimit
+		n.retryStoreCall(backoff, "publish departure", func() error {
+			err := n.storeDeparture(limit)
+			limit = storeTimeout
+			return err
+		})
 	}
 }
 
-// storeDeparture writes the departure of the local upstream to the store.
-func (n *Node) storeDeparture() error {
+// storeDeparture writes the departure of the local upstream to the store within the limit.
+func (n *Node) storeDeparture(limit time.Duration) error {
 	n.mu.Lock()
 	d := n.tracker.Departure()
 	n.mu.Unlock()
@@ -74,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := n.context(storeTimeout)
+	ctx, cancel := n.context(limit)
 	defer cancel()
 	if err := n.cfg.Directory.Publish(ctx, departureKeyPrefix+string(n.cfg.Self.Node.Host), record); err != nil {
 		return err
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -40,6 +40,7 @@
 	planner := watch.NewPlanner(n.cfg.Seed)
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost, reading := false, false
+	unanswered, due := 0, time.Duration(0) // reads in a row without an answer, and when that of the last one was due
 	for {
 		cursor, view := n.readState()
 		plan := planner.Next(view)
@@ -53,6 +54,7 @@
 			}
 			continue
 		}
+		began := n.now()
 		raw, next, err := n.readDeclaration(cursor, plan)
 		if n.runCtx.Err() != nil {
 			return
@@ -65,9 +67,11 @@
 			var pause time.Duration
 			if errors.Is(err, context.DeadlineExceeded) {
 				planner.Unanswered()
+				unanswered, due = unanswered+1, began+plan.Wait
 				pause = planner.RetryPause(plan, view) // no backoff, because this read took long enough
 			} else {
 				planner.Answered()
+				unanswered = 0
 				pause = max(watch.RefusalPause(view), backoff.Next())
 			}
 			if plan.Check {
@@ -81,9 +85,12 @@
 		}
 		planner.Answered()
 		if storeLost {
+			if unanswered == 1 { // after more, the store itself was silent
+				n.recordSilentStore(due)
+			}
 			n.cfg.Log.Write(eventlog.Lifecycle, "store regained", "declaration", n.declarationVersion(),
 				"answered_ms", n.since(&n.storeAnswered).Milliseconds())
-			storeLost = false
+			storeLost, unanswered = false, 0
 		}
 		answered := n.now()
 		n.storeAnswered.Store(int64(answered))
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -21,6 +21,7 @@
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
+	"cardamomhatch/internal/standin/silence"
 	"cardamomhatch/internal/upstream"
 )
 
@@ -46,6 +47,7 @@
 	reads       map[string]int        // reads of the declaration, by host
 	openReads   map[int]chan struct{} // by number of the read; closed when its response is lost
 	lastRead    int                   // number of the last read
+	lostWrites  int                   // writes that the store does not answer from now on
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
@@ -140,11 +142,17 @@
 	return catalog.New(c.declaration(version))
 }
 
-func (c storeClient) Publish(_ context.Context, key string, record []byte) error {
+func (c storeClient) Publish(ctx context.Context, key string, record []byte) error {
 	if err := c.checkAvailable(); err != nil {
 		return err
 	}
 	c.mu.Lock()
+	if c.lostWrites > 0 {
+		c.lostWrites--
+		c.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	defer c.mu.Unlock()
 	c.records[key] = record
 	return nil
@@ -172,6 +180,7 @@
 	service         mesh.Service
 	slots           int
 	log             *logBuffer
+	peers           *silence.Listener
 	mu              sync.Mutex
 	runs            map[string]int // executions by request ID
 	lastHeader      http.Header    // header of the last request that ran
@@ -274,7 +283,8 @@
 // startNode starts the node next to the upstream and announces the upstream as ready.
 func (h *host) startNode(t testing.TB, s *store, name string) {
 	t.Helper()
-	callers, peers := listen(t), listen(t)
+	callers, peers := listen(t), &silence.Listener{Listener: listen(t)}
+	h.peers = peers
 	h.callerAddress = callers.Addr().String()
 	log := eventlog.New(h.log, "host", name)
 	h.node = New(Config{
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -73,6 +73,8 @@
 	readBegan     atomic.Int64 // value of now() at the start of the last read of the declaration, in ns
 	storeAnswered atomic.Int64 // value of now() at the last response to such a read, in ns; zero before the first
 
+	silenceHandledAt atomic.Int64 // value of now() at which idle connections were closed because another was silent, in ns
+
 	mu             sync.Mutex // guards the fields below
 	rawDeclaration []byte     // the declaration as stored, for peers that lack it
 	cursor         Cursor     // position at the store up to which declarations are known
@@ -143,7 +145,7 @@
 	})
 	n.controlClient = peer.NewClient(peer.Config{
 		Self: cfg.Self.Node, Metrics: cfg.Metrics, Seed: cfg.Seed, Idle: controlIdleTimeout,
-		Acknowledged: n.recordAcknowledged, Unreachable: n.recordUnreachable,
+		Acknowledged: n.recordAcknowledged, Unreachable: n.recordUnreachable, Silent: n.recordSilentPeer,
 	})
 	n.receiver = peer.NewReceiver(cfg.Metrics, n.handleMessage)
 	n.receiver.Host = cfg.Self.Node.Host
@@ -254,13 +256,7 @@
 // trimPools periodically closes idle connections to peers and the upstream.
 func (n *Node) trimPools() {
 	for n.pause(trimInterval) {
-		n.mu.Lock()
-		pools := make([]*exchange.Pool, 0, len(n.pools)+1)
-		for _, p := range n.pools {
-			pools = append(pools, p)
-		}
-		n.mu.Unlock()
-		for _, p := range append(pools, n.upstreamPool) {
+		for _, p := range n.allPools() {
 			p.Trim()
 		}
 	}
