Do not take a paused peer for a silent connection

A peer paused for a moment acknowledges late on a new connection too, but the time to connect was not counted, and a node that was paused itself found its own timers expired. Both closed idle connections for nothing.

The repeated message must be acknowledged within 0.3 s including the handshake. A timer that fires over 0.1 s late starts again, and a read that ended late shows nothing about its connection.

TestPausedPeerIsNotTakenForASilentConnection counted one silent connection before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -40,6 +40,9 @@
 	// suspect. It bounds the rate of new connections if peers that are short of processor time
 	// are taken for silent connections.
 	suspicionInterval = 2 * time.Second
+	// timerSlack is how late a timer may fire. A later one shows that this process was paused or
+	// had no processor time, so that an acknowledgement may still wait to be read.
+	timerSlack = 100 * time.Millisecond
 	// defaultIdleTimeout is the time without messages to a peer after which its
 	// goroutine and connection end.
 	defaultIdleTimeout = time.Minute
@@ -293,9 +296,10 @@
 	if c.ctx.Err() != nil || !silent && !(reused && errors.Is(err, rpc.ErrShutdown)) {
 		return err
 	}
+	repeated := time.Now()
 	err = c.deliverOnce(address, to, batch, pc, deliverTimeout)
-	// A peer that is only slow does not acknowledge soon on the new connection either.
-	if silent && err == nil && pc.slowest < silenceTimeout {
+	// A peer that is only slow or paused does not acknowledge soon on the new connection either.
+	if silent && err == nil && time.Since(repeated) < silenceTimeout && pc.slowest < silenceTimeout {
 		c.silent.Inc(1)
 		c.Suspect(began)
 		if !to.Node.IsZero() && c.cfg.Silent != nil {
@@ -329,19 +333,13 @@
 	_ = pc.conn.SetWriteDeadline(began.Add(max(limit, maxSilenceTimeout)))
 	before := pc.conn.total
 	call := pc.rpc.Go(deliverMethod, batch, &Ack{}, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(limit + time.Duration((pc.conn.total-before)/bytesPerMillisecond)*time.Millisecond)
-	defer timer.Stop()
-	var err error
-	select {
-	case <-call.Done:
-		err = call.Error
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = errors.Wrapf(errUnacknowledged, "peer %s: %v", address, err)
-		}
-	case <-timer.C:
-		err = errors.Wrapf(errUnacknowledged, "peer %s, within %s", address, limit)
-	case <-c.done:
-		err = rpc.ErrShutdown
+	limit += time.Duration((pc.conn.total-before)/bytesPerMillisecond) * time.Millisecond
+	err := c.awaitAcknowledgement(call, limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) { // of the write
+		err = errUnacknowledged
+	}
+	if errors.Is(err, errUnacknowledged) {
+		err = errors.Wrapf(err, "peer %s, within %s", address, limit)
 	}
 	if err != nil {
 		pc.close()
@@ -352,6 +350,27 @@
 	return nil
 }
 
+// awaitAcknowledgement waits until the call ends, for at most the limit.
+func (c *Client) awaitAcknowledgement(call *rpc.Call, limit time.Duration) error {
+	due := time.Now().Add(limit)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-call.Done:
+			return call.Error
+		case <-c.done:
+			return rpc.ErrShutdown
+		case <-timer.C:
+			if time.Since(due) < timerSlack {
+				return errUnacknowledged
+			}
+			due = time.Now().Add(limit)
+			timer.Reset(limit)
+		}
+	}
+}
+
 // dial connects to the address and checks that the peer's certificate names the host.
 func (c *Client) dial(address string, host mesh.Host) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// Guards against a peer that is paused for a moment and is taken for a silent connection: the
+// nodes that wait for it once closed their idle connections.
+func TestPausedPeerIsNotTakenForASilentConnection(t *testing.T) {
+	for _, pause := range []time.Duration{silenceTimeout * 5 / 2, 2 * dialTimeout} {
+		got, unreachable := make(chan mesh.Envelope, 8), make(chan mesh.NodeID, 8)
+		network, member := serveSilenceable(t, func(e mesh.Envelope) { got <- e })
+		c, sent := newClient(t, nil, unreachable)
+		sendAndAwait(t, c, sent, member, got, 1)
+		network.Pause(pause)
+		c.Send(member, mesh.Envelope{From: self, To: remote, Message: testMessage{2}})
+		receive(t, got)
+		time.Sleep(deliverTimeout / 4) // until the repeat is acknowledged
+		if n := counterValue(sent, "peer.silent_connections"); n != 0 {
+			t.Errorf("%d silent connections counted after a pause of %s, want none", n, pause)
+		}
+	}
+}
+
 func eventuallyCounted(t *testing.T, r metrics.Registry, name string, want int64) {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); counterValue(r, name) != want; time.Sleep(time.Millisecond) {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -29,6 +29,8 @@
 	// listDelay is the time between publishing this node and listing the others. When
 	// the whole fleet is started at once, all nodes start within this time.
 	listDelay = 400 * time.Millisecond
+	// readSlack is how late the time limit of a read may end it while the process runs.
+	readSlack = 100 * time.Millisecond
 	// isolationCheckInterval is how often a node checks whether it has lost contact with all
 	// peers; if so, it lists the nodes again.
 	isolationCheckInterval = 10 * time.Second
@@ -68,6 +70,9 @@
 			if errors.Is(err, context.DeadlineExceeded) {
 				planner.Unanswered()
 				unanswered, due = unanswered+1, began+plan.Wait
+				if n.now()-began > plan.Limit()+readSlack {
+					unanswered++ // this process was paused: the read shows nothing about its connection
+				}
 				pause = planner.RetryPause(plan, view) // no backoff, because this read took long enough
 			} else {
 				planner.Answered()
