--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -29,6 +29,8 @@
 	// listDelay is the time between publishing this node and listing the others. When
 	// the whole fleet is started at once, all nodes start within this time.
 	listDelay = 400 * time.Millisecond
+	// readSlack is how late the time limit of a read may end it while the process runs.
+	readSlack = 100 * time.Millisecond
 	// isolationCheckInterval is how often a node checks whether it has lost contact with all
 	// peers; if so, it lists the nodes again.
 	isolationCheckInterval = 10 * time.Second
@@ -40,6 +42,7 @@
 	planner := watch.NewPlanner(n.cfg.Seed)
 	backoff := peer.NewBackoff(rand.New(rand.NewPCG(n.cfg.Seed, 1)), maxStoreBackoff) // 1: other jitter than in publishAndList
 	storeLost, reading := false, false
+	unanswered, due := 0, time.Duration(0) // reads in a row without an answer, and when that of the last one was due
 	for {
 		cursor, view := n.readState()
 		plan := planner.Next(view)
@@ -53,6 +56,7 @@
 			}
 			continue
 		}
+		began := n.now()
 		raw, next, err := n.readDeclaration(cursor, plan)
 		if n.runCtx.Err() != nil {
 			return
@@ -62,11 +66,17 @@
 		}
 		storeLost = storeLost || err != nil
 		if err != nil {
-			pause := plan.RetryPause(view) // no backoff, because this read took long enough
+			var pause time.Duration
 			if errors.Is(err, context.DeadlineExceeded) {
 				planner.Unanswered()
+				unanswered, due = unanswered+1, began+plan.Wait
+				if n.now()-began > plan.Limit()+readSlack {
+					unanswered++ // this process was paused: the read shows nothing about its connection
+				}
+				pause = planner.RetryPause(plan, view) // no backoff, because this read took long enough
 			} else {
 				planner.Answered()
+				unanswered = 0
 				pause = max(watch.RefusalPause(view), backoff.Next())
 			}
 			if plan.Check {
@@ -80,9 +90,12 @@
 		}
 		planner.Answered()
 		if storeLost {
+			if unanswered == 1 { // after more, the store itself was silent
+				n.recordSilentStore(due)
+			}
 			n.cfg.Log.Write(eventlog.Lifecycle, "store regained", "declaration", n.declarationVersion(),
 				"answered_ms", n.since(&n.storeAnswered).Milliseconds())
-			storeLost = false
+			storeLost, unanswered = false, 0
 		}
 		answered := n.now()
 		n.storeAnswered.Store(int64(answered))
