Admit the routes of a level by their cost at the short service

Cause: within a level, every route got the same share, whatever it needs of the service that is short. Change: a nested call carries its entry route and its number for each entry request. The meter counts demand by level and origin, learns the cost of each, and divides the share of the first level that does not fit: share = price / cost squared, between a floor and 1, with the same slots in use. Reports tell the cut of the origin of their request beside the cut by level. Where a level has one origin, cut and messages are unchanged. Old nodes understand all messages: the origin has a header of its own, and the named fields are sent only to nodes that ask for them with a flag that old nodes ignore.

--- a/internal/pressure/callgraph.go
+++ b/internal/pressure/callgraph.go
@@ -164,6 +164,32 @@
 	return r.callsByTarget[t] / (r.completed + float64(r.running) + 1)
 }
 
+// CallFanout returns the number of calls to the target for each entry request, for a call
+// that the parent makes.
+func (g *CallGraph) CallFanout(parent *Request, t Target) float64 {
+	calls := g.CallsPerRequest(parent.Route, t)
+	if calls <= 0 {
+		calls = 1 // the route is not tracked
+	}
+	return ClampFanout(parent.Fanout * calls)
+}
+
+// CalleeOriginCut is CalleeCut for the requests of one origin. The cause is that of the
+// target with the least share of the level.
+func (g *CallGraph) CalleeOriginCut(now time.Duration, route, origin string, level Level, cuts *CutTable) OriginCut {
+	cut := OriginCut{Cut: OpenCut}
+	r := g.routes[route]
+	if r == nil {
+		return cut
+	}
+	for t := range r.callsByTarget {
+		if g.CallsPerRequest(route, t) >= minRelevantCalls {
+			cut = cut.Tighter(cuts.OriginCut(now, t, origin), level)
+		}
+	}
+	return cut
+}
+
 // CalleeCut returns the level-wise minimum of the cuts of all targets that a request of
 // the route calls at least minRelevantCalls times on average.
 func (g *CallGraph) CalleeCut(now time.Duration, route string, cuts *CutTable) Cut {
--- a/internal/pressure/cut.go
+++ b/internal/pressure/cut.go
@@ -124,6 +124,16 @@
 	return hex.EncodeToString(raw)
 }
 
+// EncodesAs reports whether Encode returns the same text for both cuts.
+func (c Cut) EncodesAs(d Cut) bool {
+	for l := range c {
+		if byte(c[l]*byteScale+0.5) != byte(d[l]*byteScale+0.5) {
+			return false
+		}
+	}
+	return true
+}
+
 // ParseCut parses the output of Encode. On error it also returns OpenCut.
 func ParseCut(text string) (Cut, error) {
 	raw, err := hex.DecodeString(text)
--- a/internal/pressure/cuttable.go
+++ b/internal/pressure/cuttable.go
@@ -23,7 +23,11 @@
 
 // CutTable holds the cuts of other services as observed by this node. It is not
 // safe for concurrent use.
-type CutTable struct{ cuts map[Target]*observedCut }
+type CutTable struct {
+	cuts         map[Target]*observedCut
+	origins      map[originTarget]*observedOrigin
+	originsSwept time.Duration
+}
 
 type observedCut struct {
 	cut        Cut
@@ -32,7 +36,7 @@
 
 // NewCutTable returns an empty table, in which every cut is open.
 func NewCutTable() *CutTable {
-	return &CutTable{cuts: map[Target]*observedCut{}}
+	return &CutTable{cuts: map[Target]*observedCut{}, origins: map[originTarget]*observedOrigin{}}
 }
 
 // Observe adds the cut that a response carried. The nodes of a service report
--- a/internal/pressure/inflight.go
+++ b/internal/pressure/inflight.go
@@ -29,6 +29,8 @@
 	Level   Level
 	Weight  float64       // see Meter
 	Retry   bool          // a retry, or made for a request that is a retry
+	Origin  string        // entry route of the request on whose behalf this one is made; empty: not known
+	Fanout  float64       // requests like this one for each entry request of the origin
 	Expires time.Duration // when the upstream stops working on it
 }
 
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -10,6 +10,11 @@
 // level-wise minimum of the cuts of all services that the requests of a route call. The
 // entry nodes shed by that cut, so that a request is admitted with all its calls or not
 // at all.
+//
+// Requests of one level can need very different amounts of the short service. The meter
+// therefore also counts by origin, the entry route of a request, and learns the cost of an
+// entry request of each origin: the slot seconds that it takes here with all its calls. Within
+// the first level that does not fit, origins of a low cost are admitted ahead of others.
 package pressure
 
 import (
@@ -94,6 +99,9 @@
 	intervalStart      time.Duration
 	reduction          float64 // slots that are left unused because of a standing queue
 	reductionUpdatedAt time.Duration
+	origins            map[string]*originStats
+	originMissed       bool      // in the current interval, a request of an origin came that is not tracked
+	division           *division // of the last cut; nil if the requests of all origins get the same cut
 }
 
 // NewMeter returns a meter without measurements.
@@ -145,6 +153,7 @@
 				m.flows[l][k].endInterval()
 			}
 		}
+		m.endOriginIntervals()
 	}
 }
 
@@ -204,12 +213,15 @@
 func (m *Meter) Cut(now time.Duration, capacity float64, queued int) Cut {
 	m.advance(now)
 	m.updateReduction(now, capacity, float64(queued))
+	m.division = nil
 	backlog := max(float64(queued)-normalQueue*capacity, 0) * m.meanLatency / queueDrainTime.Seconds()
 	left := max(targetUtilization*capacity-backlog-m.reduction, minCapacityShare*capacity)
 	for l := range m.flows {
 		demand := m.demand(l)
 		if demand > left {
-			return m.splitCut(l, left, cheapShare*capacity)
+			cut, last := m.splitCut(l, left, cheapShare*capacity)
+			m.division = m.divide(cut, l, last)
+			return cut
 		}
 		left -= demand
 	}
@@ -229,9 +241,11 @@
 
 // splitCut returns the cut that divides the slots that are left between the first level
 // that does not fit and the cheap levels after it, which together need at most spare slots.
-// The order of the levels is kept: none gets a larger share than the one before it.
-func (m *Meter) splitCut(first int, left, spare float64) Cut {
-	last, cheapDemand := first, 0.0
+// The order of the levels is kept: none gets a larger share than the one before it. It also
+// returns the last of these levels.
+func (m *Meter) splitCut(first int, left, spare float64) (cut Cut, last int) {
+	last = first
+	cheapDemand := 0.0
 	for l := first + 1; l < NumLevels; l++ {
 		demand := m.demand(l)
 		if cheapDemand+demand > spare {
@@ -245,7 +259,6 @@
 		left -= m.arrivingDemand(l)
 	}
 	share := max(left, 0) / (m.demand(first) + cheapDemand)
-	var cut Cut
 	for l := range cut {
 		switch {
 		case l < first:
@@ -254,5 +267,5 @@
 			cut[l] = float32(share)
 		}
 	}
-	return cut
+	return cut, last
 }
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -55,7 +55,7 @@
 	if n.isSelf(target) {
 		result := n.serveUpstream(c.context(), &servedRequest{hop: h, id: c.id, request: request})
 		a.response, a.refusal, a.release = result.response, result.refusal, result.release
-		a.report, a.hasReport = n.report(h.Route), true
+		a.report, a.hasReport = n.report(&h), true
 		return a
 	}
 	c.forward(&a, h, request)
@@ -73,6 +73,9 @@
 	n := c.node
 	r.Header = endToEndHeaders(r.Header, n.cfg.Dialect.Key)
 	r.Header[hopHeader] = []string{h.encode()}
+	if value := h.encodeOrigin(); value != "" {
+		r.Header[originHeader] = []string{value}
+	}
 	r.Deadline = n.started.Add(c.deadline + c.grace())
 	n.mu.Lock()
 	pool := n.pool(a.target.PeerAddress)
@@ -141,6 +144,7 @@
 	n.table.RecordEnd(n.now(), target.Node, sample)
 	if a.hasReport {
 		n.cuts.Observe(n.now(), c.cutTarget(), a.report.Cut)
+		n.cuts.ObserveOrigin(n.now(), c.cutTarget(), c.origin, a.report.Origin, a.report.HasOrigin)
 	}
 }
 
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,10 +24,46 @@
 	if got, err := parseHop(h.encode()); err != nil || got != h {
 		t.Errorf("hop %+v is parsed as %+v, error %v", h, got, err)
 	}
+	if n := strings.Count(h.encode(), ";") + 1; n != hopFields {
+		t.Errorf("hop has %d fields; nodes of the version before refuse any number but %d", n, hopFields)
+	}
 	r := report{Cut: pressure.CutAt(4.5)} // encoded with 8 bits per level, so parsing does not restore it exactly
 	if got, ok := parseReport(http.Header{loadHeader: {r.encode()}}); !ok || got.Cut.Distance(r.Cut) > 0.01 {
 		t.Errorf("report %+v is parsed as %+v, ok %v", r, got, ok)
 	}
+	if n := strings.Count(r.encode(), ",") + 1; n != reportFields {
+		t.Errorf("report without a cut for the origin has %d fields; nodes of the version before ignore any number but %d", n, reportFields)
+	}
+	r.Origin, r.HasOrigin = pressure.OriginCut{Cut: pressure.CutAt(4.2), Service: "a,b=c", Cost: 0.25}, true
+	got, ok := parseReport(http.Header{loadHeader: {r.encode() + ",later=5"}})
+	if !ok || !got.HasOrigin || got.Origin.Cut.Distance(r.Origin.Cut) > 0.01 || got.Origin.Service != "a,b=c" || got.Origin.Cost != 0.25 {
+		t.Errorf("report %+v is parsed as %+v, ok %v", r, got, ok)
+	}
+	if _, err := parseHop(h.encode() + ";later"); err != nil {
+		t.Errorf("a hop with a field of a later version is refused: %v", err)
+	}
+}
+
+// Nested calls must carry the origin and their number for each entry request. Forged numbers
+// are bounded, and a call from a node that sends no origin has none.
+func TestOriginRoundTrip(t *testing.T) {
+	for _, c := range []struct {
+		sent, want hop
+		value      string // sent instead
+	}{
+		{sent: hop{Nested: true, Origin: "read", Fanout: 2.5}, want: hop{Nested: true, Origin: "read", Fanout: 2.5}},
+		{sent: hop{Route: "read"}, want: hop{Route: "read", Origin: "read", Fanout: 1}},
+		{sent: hop{Nested: true, Route: "feed"}, want: hop{Nested: true, Route: "feed", Fanout: 1}},
+		{value: "read;1e300;later", sent: hop{Nested: true}, want: hop{Nested: true, Origin: "read", Fanout: pressure.MaxFanout}},
+		{value: "read;NaN", sent: hop{Nested: true}, want: hop{Nested: true, Origin: "read", Fanout: 1}},
+		{value: "read", sent: hop{Nested: true}, want: hop{Nested: true, Fanout: 1}},
+	} {
+		got := hop{Nested: c.sent.Nested, Route: c.sent.Route}
+		got.parseOrigin(cmp.Or(c.value, c.sent.encodeOrigin()))
+		if got != c.want {
+			t.Errorf("%+v with %q is parsed as %+v, want %+v", c.sent, c.value, got, c.want)
+		}
+	}
 }
 
 // callFeedFrom makes the upstream of h handle each request by calling the feed route
@@ -91,4 +129,9 @@
 		}
 		return false
 	})
+	c.node.mu.Lock()
+	defer c.node.mu.Unlock()
+	if c.node.meter.Cost("read") <= 0 {
+		t.Error("the cost of requests of route read at the service that they call is not known there")
+	}
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -63,6 +63,8 @@
 	service       mesh.Service
 	level         pressure.Level
 	weight        float64 // requests of the level that this one represents: the inverse of the admitted share
+	origin        string  // see hop.Origin
+	fanout        float64 // see hop.Fanout
 	nested        bool    // made by an upstream on behalf of a running request
 	parentIsRetry bool    // the running request that made this nested call is a retry
 	arrived       time.Duration
@@ -188,7 +190,7 @@
 	}
 	n.mu.Unlock()
 	if !admitted {
-		refusal := n.refusal(outcome.NotRun, outcome.Overloaded, "cut "+cut.String())
+		refusal := n.refusal(outcome.NotRun, outcome.Overloaded, c.cutDetail(cut))
 		refusal.RetryAfter = c.retryDelay()
 		return refusal, false
 	}
@@ -327,6 +329,7 @@
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.node.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Nested: c.nested,
 		NonIdempotent: !c.route.Idempotent, Retry: c.parentIsRetry || c.attempts > 0, Remaining: remaining, MaxWait: c.waitLimit(remaining), Grace: c.grace() / 2, // the rest is for the way back
+		NamedReport: true, Origin: c.origin, Fanout: c.fanout,
 	}
 	if c.workspace != nil {
 		h.Workspace = c.workspace.Name
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -180,6 +180,7 @@
 	gauge("gate.running", int64(n.gate.Running()))
 	gauge("gate.queued", int64(n.gate.Queued()))
 	gauge("gate.limit", int64(n.gate.Limit()))
+	n.updateOriginMetrics()
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
 	gauge("roster.nodes", int64(n.roster.Len(now)))
 	gauge("store.reader_rank", int64(n.roster.ReaderRank()))
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -27,6 +27,10 @@
 			t.Errorf("%q is parsed as %+v", value, h)
 		}
 		_, _ = parseHop(h.encode())
+		h.parseOrigin(value)
+		if !(h.Fanout >= pressure.MinFanout && h.Fanout <= pressure.MaxFanout) {
+			t.Errorf("%q gives the fanout %v", value, h.Fanout)
+		}
 	})
 }
 
@@ -34,6 +38,9 @@
 func FuzzParseReport(f *testing.F) {
 	valid := report{Cut: pressure.CutAt(4.5)}
 	f.Add(valid.encode())
+	valid.Origin, valid.HasOrigin = pressure.OriginCut{Cut: pressure.CutAt(4.2), Service: "web", Cost: 0.4}, true
+	f.Add(valid.encode())
+	f.Add("1,2,3,4,ff,cost=NaN,cut=zz,at=%zz,cost=-1e999")
 	f.Add("1,2,3,4,")
 	f.Add("-1,99999999999999999999,0,300,0")
 	f.Add(strings.Repeat(",", 100_000))
@@ -43,6 +50,12 @@
 				if share := r.Cut.Share(level); share < 0 || share > 1 {
 					t.Errorf("%q gives level %d the share %v", value, level, share)
 				}
+				if share := r.Origin.Cut.Share(level); r.HasOrigin && (share < 0 || share > 1) {
+					t.Errorf("%q gives level %d of the origin the share %v", value, level, share)
+				}
+			}
+			if !(r.Origin.Cost >= 0 && r.Origin.Cost < 3600) {
+				t.Errorf("%q gives the cost %v", value, r.Origin.Cost)
 			}
 		}
 	})
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -19,8 +19,9 @@
 	headerPrefix = "Cardamomhatch-" // of all header fields that nodes exchange
 	hopHeader    = "Cardamomhatch-Hop"
 	loadHeader   = "Cardamomhatch-Load"
-	hopFields    = 12 // fields in hopHeader, separated by semicolons
-	reportFields = 5  // fields in loadHeader, separated by commas
+	originHeader = "Cardamomhatch-Origin" // origin and fanout of a nested call; see origin.go
+	hopFields    = 12                     // least number of fields in hopHeader, separated by semicolons
+	reportFields = 5                      // least number of fields in loadHeader, separated by commas
 )
 
 // hop is the metadata that an entry node sends with a request to the serving node, in
@@ -39,19 +40,22 @@
 	Remaining     time.Duration // until the deadline
 	MaxWait       time.Duration // longest time in the queue of the serving node
 	Grace         time.Duration // for which a response is awaited beyond the deadline
+	NamedReport   bool          // the entry node reads the named fields of the report
+	Origin        string        // entry route of the request, or of the request on whose behalf it is made; empty: not known
+	Fanout        float64       // requests like this one for each entry request of the origin
 }
 
 // encode returns the value of hopHeader. Names are not escaped: catalog.New rejects
 // declared names that contain a separator. The names of the caller and the target host
 // come from settings, which do not reject separators; the peer refuses a request with
 // such a name. The first field is the version of the format. Earlier versions left the last
-// field, the grace, empty.
+// field, the grace, empty, and refuse a header with more fields.
 func (h *hop) encode() string {
 	flags := ""
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}} {
+	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}, {h.NamedReport, "n"}} {
 		if flag.set {
 			flags += flag.name
 		}
@@ -64,10 +68,10 @@
 	}, ";")
 }
 
-// parseHop parses a header value written by hop.encode.
+// parseHop parses a header value written by hop.encode. Further fields are ignored.
 func parseHop(value string) (hop, error) {
 	fields := strings.Split(value, ";")
-	if len(fields) != hopFields || fields[0] != "1" {
+	if len(fields) < hopFields || fields[0] != "1" {
 		return hop{}, fmt.Errorf("header %s has %d fields and version %q", hopHeader, len(fields), fields[0])
 	}
 	target, err := peer.ParseNode(fields[1])
@@ -89,9 +93,10 @@
 		Target: target, Service: mesh.Service(fields[2]), Workspace: mesh.Workspace(fields[3]), Caller: mesh.Service(fields[4]),
 		Route: fields[9], Level: pressure.Level(min(max(numbers[0], 0), pressure.NumLevels-1)),
 		Nested: strings.Contains(fields[6], "i"), NonIdempotent: strings.Contains(fields[6], "o"), Retry: strings.Contains(fields[6], "r"),
-		Remaining: time.Duration(numbers[1]) * time.Millisecond,
-		MaxWait:   time.Duration(numbers[2]) * time.Millisecond,
-		Grace:     min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
+		NamedReport: strings.Contains(fields[6], "n"),
+		Remaining:   time.Duration(numbers[1]) * time.Millisecond,
+		MaxWait:     time.Duration(numbers[2]) * time.Millisecond,
+		Grace:       min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
 	}, nil
 }
 
@@ -101,18 +106,27 @@
 	Load  routing.Report
 	Phase roster.Phase
 	Cut   pressure.Cut // level-wise minimum of the cuts of the upstream and of all services that the route calls
+	// Origin is the cut for the origin of the request. It is valid if HasOrigin is set, which it
+	// is only if that cut differs from Cut and the entry node reads it.
+	Origin    pressure.OriginCut
+	HasOrigin bool
 }
 
 // encode returns the value of loadHeader.
 func (r report) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode())
+	value := fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode())
+	if r.HasOrigin {
+		value += encodeOriginCut(r.Origin)
+	}
+	return value
 }
 
 // parseReport parses the report in the header of a response. It returns false if the
-// report is missing or malformed.
+// report is missing or malformed. Named fields follow the positional ones in any order; those
+// that are not known or malformed are ignored.
 func parseReport(h http.Header) (report, bool) {
 	fields := strings.Split(h.Get(loadHeader), ",")
-	if len(fields) != reportFields {
+	if len(fields) < reportFields {
 		return report{}, false
 	}
 	var numbers [reportFields - 1]int
@@ -126,7 +140,9 @@
 	if err != nil {
 		return report{}, false
 	}
-	return report{routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, roster.Phase(numbers[3]), cut}, true
+	r := report{Load: routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, Phase: roster.Phase(numbers[3]), Cut: cut}
+	r.Origin, r.HasOrigin = parseOriginCut(fields[reportFields:])
+	return r, true
 }
 
 // unforwardedHeaders are the header fields that are not forwarded: those that apply to
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -93,10 +93,12 @@
 	meter          *pressure.Meter                  // load offered to the local upstream
 	cut            pressure.Cut                     // overload cut of the local upstream: the share of each level that is to be admitted
 	loggedCut      pressure.Cut                     // the cut in the last log line
-	cutLoggedAt    time.Duration
-	cuts           *pressure.CutTable  // cuts reported by serving nodes
-	callGraph      *pressure.CallGraph // which services the requests of each route call
-	inFlight       *pressure.InFlight  // requests at the local upstream
+	// loggedOriginShare is the least share of an origin in the last log line.
+	loggedOriginShare float64
+	cutLoggedAt       time.Duration
+	cuts              *pressure.CutTable  // cuts reported by serving nodes
+	callGraph         *pressure.CallGraph // which services the requests of each route call
+	inFlight          *pressure.InFlight  // requests at the local upstream
 	// nestedDurations holds how long recent nested calls took from their arrival at this node.
 	nestedDurations *shutdown.Durations
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
@@ -126,8 +128,10 @@
 		meter:        pressure.NewMeter(),
 		cut:          pressure.OpenCut,
 		loggedCut:    pressure.OpenCut,
-		cuts:         pressure.NewCutTable(),
-		callGraph:    pressure.NewCallGraph(),
+
+		loggedOriginShare: 1,
+		cuts:              pressure.NewCutTable(),
+		callGraph:         pressure.NewCallGraph(),
 
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
--- /dev/null
+++ b/internal/sidecar/origin.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/pressure"
+)
+
+// The origin of a request and the cut for an origin are transmitted so that nodes without
+// them still understand all messages: those nodes refuse a hop header and ignore a report
+// with more fields than they know. The origin therefore has a header of its own, which they
+// ignore, and the cut follows the report only if the hop says that the entry node reads it.
+
+// encodeOrigin returns the value of originHeader, or an empty string if it is not needed: the
+// origin of a request that is not nested is its route.
+func (h *hop) encodeOrigin() string {
+	if !h.Nested || h.Origin == "" {
+		return ""
+	}
+	return h.Origin + ";" + strconv.FormatFloat(h.Fanout, 'f', 2, 64)
+}
+
+// parseOrigin sets the origin and the fanout from a header value written by encodeOrigin.
+func (h *hop) parseOrigin(value string) {
+	h.Origin, h.Fanout = "", 1
+	if !h.Nested {
+		h.Origin = h.Route
+		return
+	}
+	origin, rest, ok := strings.Cut(value, ";")
+	number, _, _ := strings.Cut(rest, ";") // later versions may add fields
+	fanout, err := strconv.ParseFloat(number, 64)
+	if !ok || err != nil {
+		return
+	}
+	h.Origin, h.Fanout = origin, pressure.ClampFanout(fanout)
+}
+
+// Names of the fields of a report that tell the cut for an origin.
+const (
+	fieldCut     = "cut"  // as in Cut.Encode
+	fieldService = "at"   // the short service, escaped as in a query
+	fieldCost    = "cost" // seconds of a slot
+)
+
+// encodeOriginCut returns the named fields of a report.
+func encodeOriginCut(c pressure.OriginCut) string {
+	return "," + fieldCut + "=" + c.Cut.Encode() + "," + fieldService + "=" + url.QueryEscape(string(c.Service)) +
+		"," + fieldCost + "=" + strconv.FormatFloat(c.Cost, 'f', 3, 64)
+}
+
+// parseOriginCut parses the named fields of a report. It returns false if they contain no cut.
+func parseOriginCut(fields []string) (c pressure.OriginCut, ok bool) {
+	for _, field := range fields {
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case fieldCut:
+			cut, err := pressure.ParseCut(value)
+			c.Cut, ok = cut, err == nil
+		case fieldService:
+			if service, err := url.QueryUnescape(value); err == nil {
+				c.Service = mesh.Service(service)
+			}
+		case fieldCost:
+			if cost, err := strconv.ParseFloat(value, 64); err == nil {
+				c.Cost = pressure.ClampCost(cost)
+			}
+		}
+	}
+	return c, ok
+}
+
+// recordArrival counts a request for the local upstream by its level and its origin. Its
+// weight leaves out requests that services called by the route would refuse. n.mu must be
+// held.
+func (n *Node) recordArrival(now time.Duration, req *servedRequest) {
+	callees := n.callGraph.CalleeOriginCut(now, req.Route, req.Origin, req.Level, n.cuts)
+	weight := callees.Cut.Weight(req.Weight, req.Level)
+	n.meter.RecordArrival(now, req.Level, req.Nested, weight)
+	n.meter.RecordOrigin(now, req.Level, req.Origin, req.Fanout, weight)
+}
+
+// reportedOrigin returns the cut for the origin of a request, and whether it is to be reported
+// beside the cut for all requests. n.mu must be held.
+func (n *Node) reportedOrigin(now time.Duration, h *hop, all pressure.Cut) (pressure.OriginCut, bool) {
+	cut, divided := n.meter.OriginCut(h.Origin)
+	if !h.NamedReport || h.Origin == "" || !divided && !n.cuts.HasOrigins() {
+		return pressure.OriginCut{}, false
+	}
+	local := pressure.OriginCut{Cut: n.cut}
+	if divided {
+		local = pressure.OriginCut{Cut: cut, Service: n.cfg.Self.Service, Cost: n.meter.Cost(h.Origin)}
+	}
+	tightest := local.Tighter(n.callGraph.CalleeOriginCut(now, h.Route, h.Origin, h.Level, n.cuts), h.Level)
+	return tightest, !tightest.Cut.EncodesAs(all)
+}
+
+// cutDetail describes the cut that refused the request and, if the cut depends on the origin,
+// the short service and the cost of the request there.
+func (c *call) cutDetail(cut pressure.OriginCut) string {
+	detail := "cut " + cut.Cut.String()
+	if cut.Service == "" {
+		return detail
+	}
+	metrics.GetOrRegisterCounter("requests.refused_by_cost", c.node.metrics.registry).Inc(1)
+	return detail + " of " + c.origin + " at " + string(cut.Service) + ", which takes " + strconv.FormatFloat(cut.Cost, 'f', 3, 64) + " slot seconds"
+}
+
+// updateOriginMetrics updates the gauges of the shares by origin. n.mu must be held.
+func (n *Node) updateOriginMetrics() {
+	count, least := n.meter.Origins()
+	metrics.GetOrRegisterGauge("cut.origins", n.cfg.Metrics).Update(int64(count))
+	metrics.GetOrRegisterGaugeFloat64("cut.origin_share_min", n.cfg.Metrics).Update(least)
+}
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +23,7 @@
 func (n *Node) recordStart(now time.Duration, id uint64, req *servedRequest, expires time.Duration) {
 	n.inFlight.RequestStarted(now, id, pressure.Request{
 		Route: req.Route, Level: req.Level, Weight: req.Weight, Retry: req.Retry, Expires: expires,
+		Origin: req.Origin, Fanout: req.Fanout,
 	})
 }
 
@@ -33,6 +35,7 @@
 	n.inFlight.RequestEnded(n.now(), id)
 	if complete {
 		n.meter.RecordLatency(req.Level, req.Nested, n.now()-began)
+		n.meter.RecordOriginLatency(req.Origin, n.now()-began)
 	}
 	n.mu.Unlock()
 	n.releaseSlot(began, complete)
@@ -47,35 +50,43 @@
 		capacity = float64(n.gate.Limit())
 	}
 	n.cut = n.meter.Cut(now, capacity, queued)
-	if now-n.cutLoggedAt < cutLogInterval || n.cut.Distance(n.loggedCut) < cutLogStep {
+	_, originShare := n.meter.Origins()
+	moved := max(n.cut.Distance(n.loggedCut), math.Abs(originShare-n.loggedOriginShare))
+	if now-n.cutLoggedAt < cutLogInterval || moved < cutLogStep {
 		return
 	}
-	n.cutLoggedAt, n.loggedCut = now, n.cut
-	n.cfg.Log.Write(eventlog.Observation, "cut moved", "cut", n.cut.String(), "cut_from_rank", n.cut.FirstRestricted(), "demand_slots", n.meter.Demand(), "limit", n.gate.Limit(),
-		"running", n.gate.Running(), "queued", n.gate.Queued(), "latency_ms", n.gate.Latency().Milliseconds())
+	n.cutLoggedAt, n.loggedCut, n.loggedOriginShare = now, n.cut, originShare
+	fields := []any{"cut", n.cut.String(), "cut_from_rank", n.cut.FirstRestricted(), "demand_slots", n.meter.Demand(), "limit", n.gate.Limit(),
+		"running", n.gate.Running(), "queued", n.gate.Queued(), "latency_ms", n.gate.Latency().Milliseconds()}
+	if origins := n.meter.OriginSummary(); origins != "" {
+		fields = append(fields, "origins", origins)
+	}
+	n.cfg.Log.Write(eventlog.Observation, "cut moved", fields...)
 }
 
 // assignLevel sets the level and weight of the request and reports whether the cut
 // admits it. A call made by the local upstream inherits both from the running request
 // that most likely made it, and is always admitted. If the expiry times do not identify
 // that request, it is drawn at random. n.mu must be held.
-func (c *call) assignLevel() (pressure.Cut, bool) {
+func (c *call) assignLevel() (pressure.OriginCut, bool) {
 	if c.nested {
 		c.weight = 1
 		now := c.node.now()
 		if parent := c.node.inFlight.Parent(now, c.cutTarget(), c.expires-now, rand.Float64()); parent != nil {
 			c.level, c.weight, c.parentIsRetry = parent.Level, parent.Weight, parent.Retry
+			c.origin, c.fanout = parent.Origin, c.node.callGraph.CallFanout(parent, c.cutTarget())
 		}
-		return pressure.OpenCut, true
+		return pressure.OriginCut{Cut: pressure.OpenCut}, true
 	}
 	workspaceClass := mesh.Class(0) // ClassCritical: without a workspace, only the class of the route counts
 	if c.workspace != nil {
 		workspaceClass = c.workspace.Class
 	}
 	c.level = pressure.LevelOf(workspaceClass, c.route.Class)
-	cut := c.node.cuts.Cut(c.node.now(), c.cutTarget())
-	c.weight = 1 / cut.Share(c.level)
-	return cut, cut.Admits(c.level, hashFraction(c.id))
+	c.origin, c.fanout = c.route.Name, 1
+	cut := c.node.cuts.OriginCut(c.node.now(), c.cutTarget(), c.origin)
+	c.weight = 1 / cut.Cut.Share(c.level)
+	return cut, cut.Cut.Admits(c.level, hashFraction(c.id))
 }
 
 // cutTarget returns the service and route to which the cut of the request applies.
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -74,8 +74,7 @@
 		n.mu.Unlock()
 		return refusal, false
 	}
-	// The weight leaves out requests that services called by the route would refuse.
-	n.meter.RecordArrival(now, req.Level, req.Nested, n.callGraph.CalleeCut(now, req.Route, n.cuts).Weight(req.Weight, req.Level))
+	n.recordArrival(now, req)
 	verdict, reason := n.gate.Arrive(now, slots.Request{
 		ID: id, Level: req.Level, Nested: req.Nested, LatestStart: now + req.MaxWait, Deadline: deadline,
 	})
@@ -341,16 +340,18 @@
 	return outcome.Refusal{Execution: e, Reason: r, Node: string(n.cfg.Self.Node.Host), Detail: detail}
 }
 
-// report returns the state of this node, to be sent with the response to a request of
-// the route.
-func (n *Node) report(route string) report {
+// report returns the state of this node, to be sent with the response to a request.
+func (n *Node) report(h *hop) report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return report{
-		Cut:   n.cut.Tighter(n.callGraph.CalleeCut(n.now(), route, n.cuts)),
+	now := n.now()
+	r := report{
+		Cut:   n.cut.Tighter(n.callGraph.CalleeCut(now, h.Route, n.cuts)),
 		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
-		Phase: n.tracker.Phase(n.now()),
+		Phase: n.tracker.Phase(now),
 	}
+	r.Origin, r.HasOrigin = n.reportedOrigin(now, h, r.Cut)
+	return r
 }
 
 // servePeer handles requests from other nodes: forwarded requests and, with CONNECT,
@@ -364,21 +365,22 @@
 	defer n.openRequests.Add(-1)
 	h, err := parseHop(r.Header.Get(hopHeader))
 	if err != nil {
-		n.writePeerRefusal(w, "", n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
+		n.writePeerRefusal(w, &hop{}, n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
 		return
 	}
+	h.parseOrigin(r.Header.Get(originHeader))
 	req := &servedRequest{hop: h, id: r.Header.Get(n.cfg.Dialect.RequestID), request: exchange.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
 	if p, ok := n.stopProgress(); ok && !shutdown.AcceptsFromPeer(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent}) {
-		n.writePeerRefusal(w, h.Route, n.stopRefusal(p))
+		n.writePeerRefusal(w, &h, n.stopRefusal(p))
 		return
 	}
 	result := n.serveUpstream(r.Context(), req)
 	if result.response == nil {
 		n.logPeerRefusal(req, result.refusal)
-		n.writePeerRefusal(w, h.Route, result.refusal)
+		n.writePeerRefusal(w, &h, result.refusal)
 		return
 	}
 	n.relayToPeer(w, req, result)
@@ -406,8 +408,8 @@
 }
 
 // writePeerRefusal sends a refusal and the state of this node to a peer.
-func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
-	w.Header()[loadHeader] = []string{n.report(route).encode()}
+func (n *Node) writePeerRefusal(w http.ResponseWriter, h *hop, r outcome.Refusal) {
+	w.Header()[loadHeader] = []string{n.report(h).encode()}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenResponses.Inc(1)
 	}
@@ -421,10 +423,14 @@
 	if !n.cfg.Log.Enabled(kind) {
 		return
 	}
-	rep := n.report(req.Route)
-	n.cfg.Log.Write(kind, "serving node refused", "request", req.id, "service", req.Service, "workspace", req.Workspace,
+	rep := n.report(&req.hop)
+	fields := []any{"request", req.id, "service", req.Service, "workspace", req.Workspace,
 		"rank", req.Level, "inner", req.Nested, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
-		"running", rep.Load.InFlight, "queued", rep.Load.Queued, "limit", rep.Load.Limit, "remaining_ms", req.Remaining.Milliseconds())
+		"running", rep.Load.InFlight, "queued", rep.Load.Queued, "limit", rep.Load.Limit, "remaining_ms", req.Remaining.Milliseconds()}
+	if rep.HasOrigin {
+		fields = append(fields, "origin", req.Origin, "cost", rep.Origin.Cost, "short", rep.Origin.Service)
+	}
+	n.cfg.Log.Write(kind, "serving node refused", fields...)
 }
 
 // relayToPeer streams the upstream's response to the peer. If the response is truncated,
@@ -436,7 +442,7 @@
 		result.release(complete)
 	}()
 	copyHeader(w.Header(), endToEndHeaders(result.response.Header))
-	w.Header()[loadHeader] = []string{n.report(req.Route).encode()}
+	w.Header()[loadHeader] = []string{n.report(&req.hop).encode()}
 	if result.response.ContentLength >= 0 {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(result.response.ContentLength, 10)}
 	}
