Share what a route is admitted among its workspaces

Cause: under a cut every request of a route has the same chance, so a workspace that sends several times its usual traffic takes the place of the others. The line of a refusal tells the share of the workspace.

--- a/internal/pressure/replay_test.go
+++ b/internal/pressure/replay_test.go
@@ -130,7 +130,7 @@
 func (r *replay) attempt(k *kind, deadline time.Duration) (a pressure.Attempt, cut pressure.OriginCut) {
 	target := pressure.Target{Service: above.Service, Route: k.name}
 	cut = r.entry.OriginCut(r.now, target, k.name)
-	return pressure.Attempt{Target: target, Level: k.level, Share: cut.Cut.Share(k.level), Left: deadline - r.now, Draw: r.random.Float64()}, cut
+	return pressure.Attempt{Target: target, Level: k.level, Share: cut.Cut.Share(k.level), Fair: cut.Cut.Share(k.level), Left: deadline - r.now, Draw: r.random.Float64()}, cut
 }
 
 // arrive simulates an attempt of a caller, who waits until the deadline.
--- a/internal/pressure/returns.go
+++ b/internal/pressure/returns.go
@@ -18,7 +18,7 @@
 	freshLeft      = 0.9
 	longestForget  = 0.02 // per second, fraction by which the longest time left falls
 	returnGain     = 0.1  // weight of an interval in the mean rates
-	minFreshShare  = 0.75 // least share of requests without a booking, as a fraction of the share of the route
+	minFreshFactor = 0.75 // least share of requests without a booking, as a fraction of the share of the route
 	returnMinDelay = 50 * time.Millisecond
 	// steadyShare is the fraction of what is admitted that is booked for returns while the demand
 	// is expected to stay. Each return then takes the place of a first attempt, so that more
@@ -43,6 +43,7 @@
 	Target Target
 	Level  Level
 	Share  float64       // of its route and level that is admitted
+	Fair   float64       // of its workspace there that is admitted; see Fair
 	Left   time.Duration // until the caller stops waiting
 	Draw   float64       // uniformly distributed in [0, 1)
 }
@@ -124,7 +125,7 @@
 func (r *Returns) Admits(now time.Duration, a Attempt) bool {
 	g := r.group(now, a.Target, a.Level)
 	if g == nil {
-		return a.Draw < a.Share
+		return a.Draw < a.Fair
 	}
 	if a.Share >= 1 {
 		g.restricted = now
@@ -140,7 +141,7 @@
 			return true
 		}
 	}
-	return a.Draw < g.freshShare(a.Share)
+	return a.Draw < a.Fair*g.freshFactor(a.Share)
 }
 
 // takeBooking removes a booking of about the current time, the earliest first.
@@ -154,14 +155,14 @@
 	return false
 }
 
-// freshShare returns the share of the requests without a booking, so that together with the
-// bookings the given share is admitted.
-func (g *returnGroup) freshShare(share float64) float64 {
+// freshFactor returns the factor by which the share of requests without a booking differs, so
+// that together with the bookings the given share is admitted.
+func (g *returnGroup) freshFactor(share float64) float64 {
 	others := g.arrivalRate - g.returnedRate
 	if others <= 0 {
-		return share
+		return 1
 	}
-	return min(max((share*g.arrivalRate-g.returnedRate)/others, minFreshShare*share), 1)
+	return max((share*g.arrivalRate-g.returnedRate)/(others*share), minFreshFactor)
 }
 
 // Delay returns the time after which the caller of a refused attempt is to come back, and
--- a/internal/pressure/returns_test.go
+++ b/internal/pressure/returns_test.go
@@ -12,7 +12,7 @@
 func TestBookedReturnsAreAdmitted(t *testing.T) {
 	const share, left = 0.5, 2 * time.Second
 	r, random := NewReturns(), rand.New(rand.NewPCG(1, 2))
-	a := Attempt{Target: Target{"stock", "feed"}, Level: 6, Share: share, Left: left}
+	a := Attempt{Target: Target{"stock", "feed"}, Level: 6, Share: share, Fair: share, Left: left}
 	due := map[time.Duration]int{}
 	first, admitted, booked, returned := 0, 0, 0, 0
 	for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -114,7 +114,7 @@
 		fields := append(c.logFields(), "execution", r.Execution.String(), "reason", r.Reason.String(),
 			"decided_by", r.Node, "detail", r.Detail)
 		if c.byOrigin {
-			fields = append(fields, "retry_ms", r.RetryAfter.Milliseconds(), "room", c.booked)
+			fields = append(fields, "retry_ms", r.RetryAfter.Milliseconds(), "room", c.booked, "workspace_share", 1/c.weight)
 		}
 		c.node.cfg.Log.Write(kind, "request refused", fields...)
 	}
--- a/internal/sidecar/origin.go
+++ b/internal/sidecar/origin.go
@@ -21,11 +21,12 @@
 // guards it.
 type originState struct {
 	returns     *pressure.Returns // refused callers that are to come back
+	fair        *pressure.Fair    // shares of workspaces
 	loggedShare float64           // least share of an origin in the last log line
 }
 
 func newOriginState() originState {
-	return originState{returns: pressure.NewReturns(), loggedShare: 1}
+	return originState{returns: pressure.NewReturns(), fair: pressure.NewFair(), loggedShare: 1}
 }
 
 // encodeOrigin returns the value of originHeader, or an empty string if it is not needed: the
@@ -133,7 +134,7 @@
 // returnAttempt describes the request to the decision on returns. The draws of one request for
 // different suffixes are independent.
 func (c *call) returnAttempt(now time.Duration, suffix string) pressure.Attempt {
-	return pressure.Attempt{Target: c.cutTarget(), Level: c.level, Share: c.share, Left: c.expires - now, Draw: hashFraction(c.id + suffix)}
+	return pressure.Attempt{Target: c.cutTarget(), Level: c.level, Share: c.share, Fair: 1 / c.weight, Left: c.expires - now, Draw: hashFraction(c.id + suffix)}
 }
 
 // returnDelay returns the time after which the caller of this request is to come back.
