Tell the divided levels with the cut of an origin

Cause: an entry node took every request of a route with a cut of its own as concerned, also at levels at which the route is alone at the short service. These got another Retry-After and another share of their workspace. Change: the report tells the first and the last level that the short service divides; returns, fair shares and waits change for these only. A level without demand is not counted among the cheap ones. Tests of pressure and sidecar pass with -race at load average 12.

--- a/internal/pressure/origin.go
+++ b/internal/pressure/origin.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cardamomhatch/internal/mesh"
 )
 
 const (
@@ -89,6 +91,7 @@
 // division divides the share of one level among the origins of its requests.
 type division struct {
 	first    int                // the level
+	last     int                // of the cheap levels after it that have demand, or first
 	cut      Cut                // for the levels other than first
 	shares   map[string]float64 // at level first, by origin
 	minShare float64
@@ -219,7 +222,7 @@
 			lowest = middle
 		}
 	}
-	d := &division{first: first, cut: cut, shares: map[string]float64{}, minShare: 1, light: map[string]bool{}}
+	d := &division{first: first, last: first, cut: cut, shares: map[string]float64{}, minShare: 1, light: map[string]bool{}}
 	for _, o := range origins {
 		s := shareAt(o, math.Exp(lowest))
 		d.shares[o.name] = s
@@ -228,6 +231,9 @@
 	}
 	for l := first + 1; l <= last; l++ {
 		d.cut[l] = min(d.cut[l], float32(d.minShare))
+		if m.demand(l) > 0 {
+			d.last = l
+		}
 		others, _ := m.originDemands(l)
 		for _, o := range others {
 			if _, ok := d.shares[o.name]; !ok {
@@ -254,19 +260,20 @@
 	return origins, sum
 }
 
-// OriginCut returns the cut for the requests of an origin after the last call of Cut. It is
-// false if they get the same cut as all requests.
-func (m *Meter) OriginCut(origin string) (Cut, bool) {
+// OriginCut returns the cut for the requests of an origin after the last call of Cut, at the
+// given service, which is that of the upstream. It is false if they get the same cut as all
+// requests.
+func (m *Meter) OriginCut(service mesh.Service, origin string) (OriginCut, bool) {
 	if m.division == nil {
-		return Cut{}, false
+		return OriginCut{}, false
 	}
 	share, ok := m.division.shares[origin]
 	if !ok {
-		return Cut{}, false
+		return OriginCut{}, false
 	}
-	cut := m.division.cut
-	cut[m.division.first] = float32(share)
-	return cut, true
+	c := OriginCut{Cut: m.division.cut, Service: service, Cost: m.Cost(origin), First: Level(m.division.first), Last: Level(m.division.last)}
+	c.Cut[m.division.first] = float32(share)
+	return c, true
 }
 
 // QueuesAsNested reports whether a request that is not nested is to wait among the nested calls
--- a/internal/pressure/origin_test.go
+++ b/internal/pressure/origin_test.go
@@ -43,7 +43,7 @@
 	if got, want := counted.Cut(now, 100, 0), plain.Cut(now, 100, 0); got != want || want == OpenCut {
 		t.Errorf("cut is %v with origins and %v without, want the same and not open", got, want)
 	}
-	if cut, ok := counted.OriginCut("view"); ok {
+	if cut, ok := counted.OriginCut("web", "view"); ok {
 		t.Errorf("the only origin of its level has a cut of its own: %v", cut)
 	}
 }
@@ -64,8 +64,12 @@
 		m, now := meterWith(true, offered{"submit", 0, 400, 0.05, 4}, offered{"dear", 1, 1200, 0.05, c.dear},
 			offered{"cheap", 1, 200, 0.05, c.cheap}, offered{"bulk", 2, 50, 0.01, 1})
 		cut := m.Cut(now, 65, 0)
-		dear, ok := m.OriginCut("dear")
-		cheap, _ := m.OriginCut("cheap")
+		dearCut, ok := m.OriginCut("web", "dear")
+		cheapCut, _ := m.OriginCut("web", "cheap")
+		dear, cheap := dearCut.Cut, cheapCut.Cut
+		if dearCut.Divided(0) || !dearCut.Divided(1) || !dearCut.Divided(2) || dearCut.Divided(3) {
+			t.Errorf("%s: levels %d to %d are divided, want 1 and the cheap level 2", c.name, dearCut.First, dearCut.Last)
+		}
 		if !ok || dear.Share(1) < c.least || dear.Share(1) > c.greatest || cheap.Share(1) < dear.Share(1)-0.05 {
 			t.Errorf("%s: cuts are %v and %v of %v", c.name, dear, cheap, cut)
 		}
--- a/internal/pressure/origincut.go
+++ b/internal/pressure/origincut.go
@@ -23,6 +23,13 @@
 	Cut     Cut
 	Service mesh.Service // the short service; empty: the cut is that of all origins
 	Cost    float64      // seconds of a slot that a request of the origin takes at that service
+	// First and Last are the levels at which the short service divides what it admits by origin.
+	First, Last Level
+}
+
+// Divided reports whether the share of the level depends on the origin.
+func (c OriginCut) Divided(level Level) bool {
+	return c.Service != "" && level >= c.First && level <= c.Last
 }
 
 // LongestWait returns how long a request that runs at the short service itself may wait there,
@@ -51,8 +58,7 @@
 
 type observedOrigin struct {
 	observedCut
-	service mesh.Service
-	cost    float64
+	cause OriginCut // of the last response that carried a cut for the origin; its Cut is not used
 }
 
 // ObserveOrigin adds the cut that a response to a request of the origin carried. If known is
@@ -69,10 +75,11 @@
 		ct.origins[key] = o
 	}
 	if !known {
-		c = OriginCut{Cut: ct.Cut(now, t), Service: o.service, Cost: o.cost}
+		c = o.cause
+		c.Cut = ct.Cut(now, t)
 	}
 	o.cut = ct.relaxedOrigin(now, t, o).toward(c.Cut, observeGain)
-	o.observedAt, o.service, o.cost = now, c.Service, c.Cost
+	o.observedAt, o.cause = now, c
 	if !known && o.cut.Distance(c.Cut) <= sameCut {
 		delete(ct.origins, key)
 	}
@@ -110,7 +117,9 @@
 		delete(ct.origins, originTarget{t, origin})
 		return OriginCut{Cut: ct.Cut(now, t)}
 	}
-	return OriginCut{Cut: ct.relaxedOrigin(now, t, o), Service: o.service, Cost: o.cost}
+	c := o.cause
+	c.Cut = ct.relaxedOrigin(now, t, o)
+	return c
 }
 
 // relaxedOrigin returns the cut of an origin, moved towards that of the target for the time
--- a/internal/pressure/replay_test.go
+++ b/internal/pressure/replay_test.go
@@ -148,7 +148,7 @@
 	q.target, q.began = pressure.Target{Service: "forms", Route: q.name}, r.now
 	a, cut := r.attempt(&q)
 	admitted := a.Draw < a.Share
-	if r.books && cut.Service != "" {
+	if r.books && cut.Divided(q.level) {
 		admitted = r.returns.Admits(r.now, a)
 	}
 	q.weight = 1 / a.Share
@@ -183,7 +183,7 @@
 	r.refusals++
 	a, cut := r.attempt(&q)
 	delay := time.Duration((0.2 + 0.3*a.Draw) * float64(time.Second))
-	if r.books && cut.Service != "" {
+	if r.books && cut.Divided(q.level) {
 		delay, _ = r.returns.Delay(r.now, a)
 	}
 	if r.insist {
@@ -224,8 +224,8 @@
 func (r *replay) observe(table *pressure.CutTable, t pressure.Target, k *kind, d *deepNode) {
 	table.Observe(r.now, t, d.cut)
 	if r.byCost {
-		cut, ok := d.meter.OriginCut(k.name)
-		table.ObserveOrigin(r.now, t, k.name, pressure.OriginCut{Cut: cut, Service: short.Service, Cost: d.meter.Cost(k.name)}, ok)
+		cut, ok := d.meter.OriginCut(short.Service, k.name)
+		table.ObserveOrigin(r.now, t, k.name, cut, ok)
 	}
 }
 
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -34,9 +34,9 @@
 	if n := strings.Count(r.encode(), ",") + 1; n != reportFields {
 		t.Errorf("report without a cut for the origin has %d fields; nodes of the version before ignore any number but %d", n, reportFields)
 	}
-	r.Origin, r.HasOrigin = pressure.OriginCut{Cut: pressure.CutAt(4.2), Service: "a,b=c", Cost: 0.25}, true
+	r.Origin, r.HasOrigin = pressure.OriginCut{Cut: pressure.CutAt(4.2), Service: "a,b=c", Cost: 0.25, First: 3, Last: 5}, true
 	got, ok := parseReport(http.Header{loadHeader: {r.encode() + ",later=5"}})
-	if !ok || !got.HasOrigin || got.Origin.Cut.Distance(r.Origin.Cut) > 0.01 || got.Origin.Service != "a,b=c" || got.Origin.Cost != 0.25 {
+	if !ok || !got.HasOrigin || got.Origin.Cut.Distance(r.Origin.Cut) > 0.01 || got.Origin.Service != "a,b=c" || got.Origin.Cost != 0.25 || got.Origin.First != 3 || got.Origin.Last != 5 {
 		t.Errorf("report %+v is parsed as %+v, ok %v", r, got, ok)
 	}
 	if _, err := parseHop(h.encode() + ";later"); err != nil {
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -40,7 +40,7 @@
 	f.Add(valid.encode())
 	valid.Origin, valid.HasOrigin = pressure.OriginCut{Cut: pressure.CutAt(4.2), Service: "web", Cost: 0.4}, true
 	f.Add(valid.encode())
-	f.Add("1,2,3,4,ff,cost=NaN,cut=zz,at=%zz,cost=-1e999")
+	f.Add("1,2,3,4,ff,cost=NaN,cut=zz,at=%zz,cost=-1e999,rank=-5-99999999999999999999")
 	f.Add("1,2,3,4,")
 	f.Add("-1,99999999999999999999,0,300,0")
 	f.Add(strings.Repeat(",", 100_000))
@@ -54,8 +54,8 @@
 					t.Errorf("%q gives level %d of the origin the share %v", value, level, share)
 				}
 			}
-			if !(r.Origin.Cost >= 0 && r.Origin.Cost < 3600) {
-				t.Errorf("%q gives the cost %v", value, r.Origin.Cost)
+			if !(r.Origin.Cost >= 0 && r.Origin.Cost < 3600) || r.Origin.First >= pressure.NumLevels || r.Origin.Last >= pressure.NumLevels {
+				t.Errorf("%q gives %+v", value, r.Origin)
 			}
 		}
 	})
--- a/internal/sidecar/origin.go
+++ b/internal/sidecar/origin.go
@@ -59,12 +59,14 @@
 	fieldCut     = "cut"  // as in Cut.Encode
 	fieldService = "at"   // the short service, escaped as in a query
 	fieldCost    = "cost" // seconds of a slot
+	fieldLevels  = "rank" // first and last level that is divided by origin, with a minus between them
 )
 
 // encodeOriginCut returns the named fields of a report.
 func encodeOriginCut(c pressure.OriginCut) string {
 	return "," + fieldCut + "=" + c.Cut.Encode() + "," + fieldService + "=" + url.QueryEscape(string(c.Service)) +
-		"," + fieldCost + "=" + strconv.FormatFloat(c.Cost, 'f', 3, 64)
+		"," + fieldCost + "=" + strconv.FormatFloat(c.Cost, 'f', 3, 64) +
+		"," + fieldLevels + "=" + strconv.Itoa(int(c.First)) + "-" + strconv.Itoa(int(c.Last))
 }
 
 // parseOriginCut parses the named fields of a report. It returns false if they contain no cut.
@@ -83,11 +85,21 @@
 			if cost, err := strconv.ParseFloat(value, 64); err == nil {
 				c.Cost = pressure.ClampCost(cost)
 			}
+		case fieldLevels:
+			first, last, _ := strings.Cut(value, "-")
+			c.First, c.Last = parseLevel(first), parseLevel(last)
 		}
 	}
 	return c, ok
 }
 
+// parseLevel parses a level. Numbers outside the levels are moved to the nearest one, and other
+// text is level 0.
+func parseLevel(text string) pressure.Level {
+	number, _ := strconv.Atoi(text) // 0 or the nearest number on error
+	return pressure.Level(min(max(number, 0), pressure.NumLevels-1))
+}
+
 // recordArrival counts a request for the local upstream by its level and its origin. Its
 // weight leaves out requests that services called by the route would refuse. n.mu must be
 // held.
@@ -101,13 +113,12 @@
 // reportedOrigin returns the cut for the origin of a request, and whether it is to be reported
 // beside the cut for all requests. n.mu must be held.
 func (n *Node) reportedOrigin(now time.Duration, h *hop, all pressure.Cut) (pressure.OriginCut, bool) {
-	cut, divided := n.meter.OriginCut(h.Origin)
+	local, divided := n.meter.OriginCut(n.cfg.Self.Service, h.Origin)
 	if !h.NamedReport || h.Origin == "" || !divided && !n.cuts.HasOrigins() {
 		return pressure.OriginCut{}, false
 	}
-	local := pressure.OriginCut{Cut: n.cut}
-	if divided {
-		local = pressure.OriginCut{Cut: cut, Service: n.cfg.Self.Service, Cost: n.meter.Cost(h.Origin)}
+	if !divided {
+		local = pressure.OriginCut{Cut: n.cut}
 	}
 	tightest := local.Tighter(n.callGraph.CalleeOriginCut(now, h.Route, h.Origin, h.Level, n.cuts), h.Level)
 	return tightest, !tightest.Cut.EncodesAs(all)
@@ -117,7 +128,7 @@
 // the short service and the cost of the request there.
 func (c *call) cutDetail(cut pressure.OriginCut) string {
 	detail := "cut " + cut.Cut.String()
-	if cut.Service == "" {
+	if !c.byOrigin {
 		return detail
 	}
 	metrics.GetOrRegisterCounter("requests.refused_by_cost", c.node.metrics.registry).Inc(1)
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -88,7 +88,7 @@
 	cut := c.node.cuts.OriginCut(now, c.cutTarget(), c.origin)
 	c.share = cut.Cut.Share(c.level)
 	c.weight = 1 / c.share
-	if cut.Service == "" {
+	if !cut.Divided(c.level) {
 		return cut, cut.Cut.Admits(c.level, hashFraction(c.id))
 	}
 	c.byOrigin = true
