Book no return for a caller that has gone

Cause: a refusal whose caller has disconnected took a booking that nobody uses. Change: such a refusal books nothing. A test checks the fanout over a call graph of three layers, on which the cost of an origin depends.

--- a/internal/pressure/origin_test.go
+++ b/internal/pressure/origin_test.go
@@ -139,3 +139,28 @@
 		}
 	}
 }
+
+// The cost of an origin needs the number of calls over the whole call graph: two calls of one
+// call each of four calls each are eight. A parent on a route that is not tracked counts as one
+// with one call.
+func TestFanoutOverTheCallGraph(t *testing.T) {
+	g := NewCallGraph()
+	q := &Request{Route: "view", Origin: "view", Fanout: 1}
+	for hop, calls := range []int{2, 1, 4} {
+		target := Target{"service", fmt.Sprint(hop)}
+		for range 500 {
+			g.RequestStarted(0, q.Route)
+			for range calls {
+				g.RecordCall(0, q.Route, target)
+			}
+			g.RequestEnded(0, q.Route)
+		}
+		q = &Request{Route: target.Route, Origin: q.Origin, Fanout: g.CallFanout(q, target)}
+	}
+	if q.Fanout < 7.9 || q.Fanout > 8 {
+		t.Errorf("%.2f calls are made for each entry request, want 8", q.Fanout)
+	}
+	if got := g.CallFanout(&Request{Route: "other", Fanout: 2}, Target{"service", "0"}); got != 2 {
+		t.Errorf("a call of a route that is not tracked has the fanout %v, want that of its parent", got)
+	}
+}
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -30,7 +30,7 @@
 func (c *call) refuse(r outcome.Refusal) {
 	n := c.node
 	status := c.status(r)
-	if c.byOrigin && status == http.StatusServiceUnavailable && r.RetryAfter <= 0 {
+	if c.byOrigin && status == http.StatusServiceUnavailable && r.RetryAfter <= 0 && c.context().Err() == nil {
 		r.RetryAfter = c.returnDelay()
 	}
 	c.logRefusal(r)
