--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -63,11 +63,17 @@
 	service       mesh.Service
 	level         pressure.Level
 	weight        float64 // requests of the level that this one represents: the inverse of the admitted share
+	origin        string  // see hop.Origin
+	fanout        float64 // see hop.Fanout
+	share         float64 // of the requests of its origin and level that is admitted
+	byOrigin      bool    // the cut depends on the origin
+	booked        bool    // room is booked for the return of this refused request
 	nested        bool    // made by an upstream on behalf of a running request
 	parentIsRetry bool    // the running request that made this nested call is a retry
 	arrived       time.Duration
 	deadline      time.Duration // by which the response must be ready
 	expires       time.Duration // when the caller stops waiting
+	longestWait   time.Duration // in the queues of the short service, from the arrival; zero: waitLimit alone decides
 	body          []byte        // buffered part of the request body
 	stream        bool          // the body is not buffered completely, so only one attempt is possible
 	tokenTaken    bool          // a token of the workspace was taken; it is refunded if the request does not run
@@ -188,9 +194,7 @@
 	}
 	n.mu.Unlock()
 	if !admitted {
-		refusal := n.refusal(outcome.NotRun, outcome.Overloaded, "cut "+cut.String())
-		refusal.RetryAfter = c.retryDelay()
-		return refusal, false
+		return n.refusal(outcome.NotRun, outcome.Overloaded, c.cutDetail(cut)), false
 	}
 	if c.workspace == nil {
 		return outcome.Refusal{}, true
@@ -318,6 +322,7 @@
 	if limit <= 0 {
 		limit = time.Duration(queueWaitShare * float64(remaining))
 	}
+	limit = max(limit, c.longestWait)
 	return max(min(limit-(c.node.now()-c.arrived), remaining), 0)
 }
 
@@ -327,6 +332,7 @@
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.node.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Nested: c.nested,
 		NonIdempotent: !c.route.Idempotent, Retry: c.parentIsRetry || c.attempts > 0, Remaining: remaining, MaxWait: c.waitLimit(remaining), Grace: c.grace() / 2, // the rest is for the way back
+		NamedReport: true, Origin: c.origin, Fanout: c.fanout,
 	}
 	if c.workspace != nil {
 		h.Workspace = c.workspace.Name
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -100,6 +100,8 @@
 	cuts           *pressure.CutTable  // cuts reported by serving nodes
 	callGraph      *pressure.CallGraph // which services the requests of each route call
 	inFlight       *pressure.InFlight  // requests at the local upstream
+	// origins holds what depends on the entry routes of requests.
+	origins originState
 	// nestedDurations holds how long recent nested calls took from their arrival at this node.
 	nestedDurations *shutdown.Durations
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
@@ -134,6 +136,7 @@
 		cuts:         pressure.NewCutTable(),
 		callGraph:    pressure.NewCallGraph(),
 
+		origins:         newOriginState(),
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
 		otherUpstreams:  upstream.NewOthers(cfg.Bounds.Heartbeat),
