Let the gate's concurrency limit be set

The gate used 0.94 of the slots of every upstream. Some upstreams become slower long before that. SetConcurrency bounds the limit by what the upstream takes well; without a call, or with zero, the limit is as before. A limit that was lowered after a refusal by the upstream is not raised by it.

go test -race ./internal/slots passes.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -25,9 +25,9 @@
 
 const (
 	defaultLimit = 32 // limit while the upstream has not reported its slots
-	// usableShare is the fraction of the slots that is used, because some upstreams become
-	// slower when all slots are in use.
-	usableShare = 0.94
+	// UsableShare is the largest fraction of the slots that is used, because some upstreams
+	// become slower when all slots are in use.
+	UsableShare = 0.94
 	// growInterval is the time in which a limit that was lowered after a refusal by the
 	// upstream grows by one slot.
 	growInterval = 50 * time.Millisecond
@@ -69,16 +69,18 @@
 // queue. All times are durations since one arbitrary start. A Gate is not safe for
 // concurrent use.
 type Gate struct {
-	slots   int     // as reported by the upstream; zero: none reported
-	limit   float64 // requests that may run at a time
-	running int     // requests at the upstream
-	queues  [numQueues][]*queuedRequest
-	queued  int                       // requests in the queues
-	byID    map[uint64]*queuedRequest // queued requests
-	latency float64                   // moving average of the time from the start to the end of a request, ns
-	grownAt time.Duration             // time up to which growth has been added to limit
-	rate    rate                      // limit on the requests per second
-	spills  bool                      // requests that the rate limit holds back are refused and not queued
+	slots int     // as reported by the upstream; zero: none reported
+	limit float64 // requests that may run at a time
+	// concurrency bounds limit; zero: UsableShare of the slots does.
+	concurrency float64
+	running     int // requests at the upstream
+	queues      [numQueues][]*queuedRequest
+	queued      int                       // requests in the queues
+	byID        map[uint64]*queuedRequest // queued requests
+	latency     float64                   // moving average of the time from the start to the end of a request, ns
+	grownAt     time.Duration             // time up to which growth has been added to limit
+	rate        rate                      // limit on the requests per second
+	spills      bool                      // requests that the rate limit holds back are refused and not queued
 	// awaitsAnswer is set until the upstream has answered. askedAt is the time of the first
 	// request in that state, or negative before it.
 	awaitsAnswer bool
@@ -102,6 +104,18 @@
 	g.limit = g.maxLimit()
 }
 
+// SetConcurrency sets the number of requests that the upstream takes well at a time, instead
+// of a fixed share of its slots. Zero means that it is not known. A limit that was lowered
+// after a refusal by the upstream still grows slowly.
+func (g *Gate) SetConcurrency(limit float64) {
+	lowered := g.limit < g.maxLimit()
+	g.concurrency = limit
+	g.limit = min(g.limit, g.maxLimit())
+	if !lowered {
+		g.limit = g.maxLimit()
+	}
+}
+
 // Reset discards the limits and the latency learned before the upstream restarted.
 func (g *Gate) Reset() {
 	g.limit = g.maxLimit()
@@ -199,7 +213,11 @@
 	if g.slots <= 0 {
 		return defaultLimit
 	}
-	return max(float64(g.slots)*usableShare, min(float64(g.slots), minLimit))
+	usable := float64(g.slots) * UsableShare
+	if g.concurrency > 0 {
+		usable = min(usable, g.concurrency)
+	}
+	return max(usable, min(float64(g.slots), minLimit))
 }
 
 // Limit returns the number of requests that may run at a time.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -144,3 +144,26 @@
 		t.Errorf("the limit is %d after a refusal, want the one slot", g.Limit())
 	}
 }
+
+// A limit on the concurrency must apply at once, follow the upstream up again, and neither
+// exceed the usable share of the slots nor undo a limit that a refusal has lowered.
+func TestSetConcurrency(t *testing.T) {
+	g := New()
+	g.SetSlots(100)
+	for _, step := range []struct {
+		limit float64
+		want  int
+	}{{60, 60}, {500, 94}, {0.5, 0}, {70, 70}, {0, 94}} {
+		if g.SetConcurrency(step.limit); g.Limit() != max(step.want, minLimit) {
+			t.Errorf("after SetConcurrency(%v), the limit is %d, want %d", step.limit, g.Limit(), step.want)
+		}
+	}
+	g.SetSlots(0)
+	for i := range 20 {
+		g.Arrive(0, Request{ID: uint64(i), LatestStart: second, Deadline: 10 * second})
+	}
+	g.RecordShed(0)
+	if g.SetConcurrency(90); g.Limit() != 18 {
+		t.Errorf("the limit is %d after a refusal of one of 20 running requests, want 18", g.Limit())
+	}
+}
