Place requests in proportion to the capacity that nodes tell

PickForLatency takes the best of all candidates by latency, so fast and local upstreams get far more than their share of requests. If at least half of the candidates of a service tell their capacity, two candidates on each side of the data centre's border are now drawn with probabilities in proportion to speed and limit, and the cheapest gets the request by expected latency, load and the cost of traffic. Without told capacities the choice and its random numbers are unchanged.

The speed of a node is split from the latency of the route, as slow nodes that got more of the long routes looked slower still.

go test -race ./internal/routing passes.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -70,3 +70,23 @@
 		})
 	}
 }
+
+// BenchmarkPickForLatency measures the choice among 20 nodes by latency, and by the capacity
+// that the nodes tell.
+func BenchmarkPickForLatency(b *testing.B) {
+	for _, rate := range []float64{0, 100} {
+		b.Run(fmt.Sprintf("rate=%v", rate), func(b *testing.B) {
+			table := New(Config{Seed: 1, DataCentre: "dc1"})
+			members := memberList(orders, 20)
+			table.SetMembers(0, orders, members)
+			for _, m := range members {
+				table.SetRate(m.Node, rate)
+				table.RecordEnd(0, m.Node, Sample{Latency: latency, Route: "r", Report: Report{InFlight: 5, Limit: 10, UsualLatency: latency}})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				table.PickForLatency(ms, Request{Service: orders, Route: "r"})
+			}
+		})
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -29,6 +29,11 @@
 	InFlight int // requests that the upstream runs
 	Queued   int // requests that wait for the upstream
 	Limit    int // requests that may run at a time
+	// UsualLatency is the mean time that requests of the route take at the upstream while its
+	// host is not slow; zero: not told.
+	UsualLatency time.Duration
+	// Slowness is the factor by which work takes longer than usual at the moment; zero: not told.
+	Slowness float64
 }
 
 // Sample holds the measurements of one attempt, and the report that its response carried.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -52,6 +52,7 @@
 	lastReport       Report
 	inFlightAtReport int     // attempts in flight when the report arrived
 	relativeLatency  float64 // latency of responses, relative to the mean of their routes; zero: not known
+	capacity         nodeCapacity
 }
 
 // addSample updates the node with the sample of an ended attempt.
@@ -122,6 +123,7 @@
 	n.reportFactor = min(1+reportSlope*max(load-reportThreshold, 0), maxReportFactor)
 	n.reportAt = now
 	n.lastReport, n.inFlightAtReport = r, n.inFlight
+	n.capacity.addLoad(now, r)
 }
 
 // excludedUntil returns the end of the last suspension or pause.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -221,6 +221,9 @@
 		sample.Pause = time.Duration((0.5 + t.randomFraction()) * float64(sample.Pause))
 	}
 	n.addSample(now, sample)
+	if sample.Report.UsualLatency > 0 {
+		t.recordUsualLatency(n, sample)
+	}
 	if sample.Result == OK && sample.Route != "" {
 		t.recordResponse(n, sample)
 	}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -45,6 +45,7 @@
 type routeStats struct {
 	latency   float64 // mean of responses, ns
 	kilobytes float64 // mean size of request and response together
+	usual     float64 // latency at an upstream of speed 1 whose host is not slow, ns; zero: not known
 }
 
 // PickForLatency chooses the node for one attempt by the target latency of its route. The
@@ -55,6 +56,12 @@
 	if s == nil || len(s.candidates) == 0 {
 		return mesh.Member{}, outcome.NoUpstream
 	}
+	if p, ok := t.plan(now, s, r); ok {
+		if n := t.pickByCapacity(now, s, r, &p); n != nil {
+			return n.member, outcome.None
+		}
+		return t.fallback(now, s, r.Exclude).member, outcome.None
+	}
 	latencyRatio, addedCost := t.routeEstimate(r)
 	var best, bestRamping choice
 	for _, c := range s.candidates {
@@ -133,6 +140,17 @@
 // recordResponse updates the measurements of the route and the relative latency of the
 // node with a response.
 func (t *Table) recordResponse(n *node, s Sample) {
+	r := t.route(s)
+	if n.relativeLatency == 0 {
+		n.relativeLatency = 1
+	}
+	n.relativeLatency += relativeLatencyGain * (float64(s.Latency)/max(r.latency, 1) - n.relativeLatency)
+	r.latency += routeGain * (float64(s.Latency) - r.latency)
+	r.kilobytes += routeGain * (float64(s.Bytes)/kilobyte - r.kilobytes)
+}
+
+// route returns the measurements of the sample's route, which it creates if needed.
+func (t *Table) route(s Sample) *routeStats {
 	r := t.routes[s.Route]
 	if r == nil {
 		if len(t.routes) >= maxRoutes {
@@ -141,12 +159,7 @@
 		r = &routeStats{latency: float64(s.Latency), kilobytes: float64(s.Bytes) / kilobyte}
 		t.routes[s.Route] = r
 	}
-	if n.relativeLatency == 0 {
-		n.relativeLatency = 1
-	}
-	n.relativeLatency += relativeLatencyGain * (float64(s.Latency)/max(r.latency, 1) - n.relativeLatency)
-	r.latency += routeGain * (float64(s.Latency) - r.latency)
-	r.kilobytes += routeGain * (float64(s.Bytes)/kilobyte - r.kilobytes)
+	return r
 }
 
-const maxRoutes = 8192 // limit of the tracked routes; recordResponse clears a full Table.routes for a new one
+const maxRoutes = 8192 // limit of the tracked routes; Table.route clears a full Table.routes for a new one
