Use the learned capacity in the gate, the reports and the records

The limit of the gate, and with it the capacity that the cut counts, follows what the learner says. The record of the node carries the capacity, so that entry nodes without responses of their own do not begin with equal shares. Reports carry the usual latency of the route and the moment's slowness as named fields. A node of the version before rejects a report of more than five fields and loses the cut with it, so the fields are sent only to nodes that ask for them by a flag of the hop, and the flag only to nodes whose record has a capacity. Earlier versions ignore flags that they do not know. The parser accepts further fields.

The upstream of the test mesh now reports the slowness that its handler sets; without one, its load is as before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -91,6 +91,9 @@
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
 	// Departure is that of the node's upstream, or of the one before it.
 	Departure Departure `json:",omitzero"`
+	// Capacity is the number of requests per second that the upstream takes while its host is
+	// not slow; zero: not known, or the upstream does not report how slow its host is.
+	Capacity float64 `json:",omitzero"`
 }
 
 // seen returns the version of the record.
@@ -235,7 +238,7 @@
 	}
 	routingChanged := !old.confirmed || old.silent || old.record.AcceptsWork() != rec.AcceptsWork() || old.record.Member != rec.Member ||
 		old.record.Instance != rec.Instance || old.record.Slots != rec.Slots
-	r.changed = r.changed || routingChanged
+	r.changed = r.changed || routingChanged || old.record.Capacity != rec.Capacity
 	return routingChanged
 }
 
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -18,6 +18,7 @@
 	h := hop{
 		Target: mesh.NodeID{Host: "a", Incarnation: 5}, Service: "web", Workspace: "w1", Caller: "stock", Route: "read",
 		Level: 6, Weight: 2.5, Nested: true, NonIdempotent: true, Retry: true, Remaining: 1200 * time.Millisecond, MaxWait: 40 * time.Millisecond, Grace: 30 * time.Millisecond,
+		WantsCapacity: true,
 	}
 	if got, err := parseHop(h.encode()); err != nil || got != h {
 		t.Errorf("hop %+v is parsed as %+v, error %v", h, got, err)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -74,6 +74,7 @@
 	attempts      int           // attempts that may have reached an upstream
 	triedNodes    []mesh.NodeID
 	triedHosts    string // comma-separated, for the log
+	wantsCapacity bool   // the node of the next attempt tells the capacity of its upstream
 }
 
 // serveCaller handles requests on the caller listener.
@@ -305,6 +306,7 @@
 	if reason != outcome.None || slices.Contains(c.triedNodes, m.Node) {
 		return mesh.Member{}, false
 	}
+	c.wantsCapacity = n.table.TellsRate(m.Node)
 	n.table.RecordSent(n.now(), m.Node)
 	return m, true
 }
@@ -326,6 +328,7 @@
 	remaining := max(c.deadline-c.node.now(), time.Millisecond)
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.node.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Nested: c.nested,
+		WantsCapacity: c.wantsCapacity,
 		NonIdempotent: !c.route.Idempotent, Retry: c.parentIsRetry || c.attempts > 0, Remaining: remaining, MaxWait: c.waitLimit(remaining), Grace: c.grace() / 2, // the rest is for the way back
 	}
 	if c.workspace != nil {
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -181,6 +181,7 @@
 	gauge("gate.queued", int64(n.gate.Queued()))
 	gauge("gate.limit", int64(n.gate.Limit()))
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
+	n.updateCapacityMetrics(now)
 	gauge("roster.nodes", int64(n.roster.Len(now)))
 	gauge("store.reader_rank", int64(n.roster.ReaderRank()))
 	gauge("declaration.age_ms", n.roster.DeclarationAge(now).Milliseconds())
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -35,10 +35,15 @@
 	valid := report{Cut: pressure.CutAt(4.5)}
 	f.Add(valid.encode())
 	f.Add("1,2,3,4,")
+	f.Add("1,2,3,1,ff,usual=12000,slow=2.50")
+	f.Add("1,2,3,1,ff,usual=99999999999999999999,slow=NaN,later,=,slow=-1")
 	f.Add("-1,99999999999999999999,0,300,0")
 	f.Add(strings.Repeat(",", 100_000))
 	f.Fuzz(func(t *testing.T, value string) {
 		if r, ok := parseReport(http.Header{loadHeader: {value}}); ok {
+			if l := r.Load; l.UsualLatency < 0 || l.UsualLatency > maxUsualLatency || l.Slowness != 0 && !(l.Slowness >= 1 && l.Slowness <= maxSlowness) {
+				t.Errorf("%q is parsed as %+v", value, l)
+			}
 			for level := range pressure.Level(pressure.NumLevels) {
 				if share := r.Cut.Share(level); share < 0 || share > 1 {
 					t.Errorf("%q gives level %d the share %v", value, level, share)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -27,7 +27,10 @@
 var dialect = Dialect{
 	RequestID: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
 	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, Leaving: leavingHeader, ProbeInstance: "X-Answerer",
-	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+	ParseLoad: func(value string) (Load, bool) {
+		slowness, _ := strconv.Atoi(value) // zero if the value is not a number
+		return Load{Slots: 8, Slowness: slowness}, true
+	},
 	ParseRateLimit: func(value string) (float64, bool) {
 		limit, err := strconv.ParseFloat(value, 64)
 		return limit, err == nil
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -20,7 +20,7 @@
 	hopHeader    = "Cardamomhatch-Hop"
 	loadHeader   = "Cardamomhatch-Load"
 	hopFields    = 12 // fields in hopHeader, separated by semicolons
-	reportFields = 5  // fields in loadHeader, separated by commas
+	reportFields = 5  // positional fields in loadHeader, separated by commas; named ones may follow
 )
 
 // hop is the metadata that an entry node sends with a request to the serving node, in
@@ -39,6 +39,7 @@
 	Remaining     time.Duration // until the deadline
 	MaxWait       time.Duration // longest time in the queue of the serving node
 	Grace         time.Duration // for which a response is awaited beyond the deadline
+	WantsCapacity bool          // the entry node reads named fields in the report
 }
 
 // encode returns the value of hopHeader. Names are not escaped: catalog.New rejects
@@ -51,7 +52,7 @@
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}} {
+	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}, {h.WantsCapacity, "c"}} {
 		if flag.set {
 			flags += flag.name
 		}
@@ -89,9 +90,10 @@
 		Target: target, Service: mesh.Service(fields[2]), Workspace: mesh.Workspace(fields[3]), Caller: mesh.Service(fields[4]),
 		Route: fields[9], Level: pressure.Level(min(max(numbers[0], 0), pressure.NumLevels-1)),
 		Nested: strings.Contains(fields[6], "i"), NonIdempotent: strings.Contains(fields[6], "o"), Retry: strings.Contains(fields[6], "r"),
-		Remaining: time.Duration(numbers[1]) * time.Millisecond,
-		MaxWait:   time.Duration(numbers[2]) * time.Millisecond,
-		Grace:     min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
+		WantsCapacity: strings.Contains(fields[6], "c"),
+		Remaining:     time.Duration(numbers[1]) * time.Millisecond,
+		MaxWait:       time.Duration(numbers[2]) * time.Millisecond,
+		Grace:         min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
 	}, nil
 }
 
@@ -105,14 +107,18 @@
 
 // encode returns the value of loadHeader.
 func (r report) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode())
+	value := fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode())
+	if r.Load.UsualLatency > 0 {
+		value += fmt.Sprintf(",%s=%d,%s=%.2f", usualLatencyKey, r.Load.UsualLatency.Microseconds(), slownessKey, r.Load.Slowness)
+	}
+	return value
 }
 
 // parseReport parses the report in the header of a response. It returns false if the
 // report is missing or malformed.
 func parseReport(h http.Header) (report, bool) {
 	fields := strings.Split(h.Get(loadHeader), ",")
-	if len(fields) != reportFields {
+	if len(fields) < reportFields {
 		return report{}, false
 	}
 	var numbers [reportFields - 1]int
@@ -126,7 +132,12 @@
 	if err != nil {
 		return report{}, false
 	}
-	return report{routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, roster.Phase(numbers[3]), cut}, true
+	r := report{Load: routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, Phase: roster.Phase(numbers[3]), Cut: cut}
+	for _, field := range fields[reportFields:] {
+		key, value, _ := strings.Cut(field, "=")
+		r.setCapacity(key, value)
+	}
+	return r, true
 }
 
 // unforwardedHeaders are the header fields that are not forwarded: those that apply to
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -33,6 +33,7 @@
 	result := n.tracker.HandleAnnouncement(now, a)
 	if result.Restarted {
 		n.gate.Reset()
+		n.learner.Restart(now)
 		n.upstreamPool.Invalidate()
 		if n.ranBefore(a) {
 			n.gate.AwaitAnswer()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"cardamomhatch/internal/capacity"
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/exchange"
@@ -80,6 +81,8 @@
 	lastDoubt      uint64 // doubt of the data centre at the last call of wakeReader; zero for none
 	tracker        *upstream.Tracker
 	gate           *slots.Gate
+	learner        *capacity.Learner              // of the local upstream
+	capacityToldAt time.Duration                  // when the own record last got a new capacity
 	slotWaiters    map[uint64]chan slots.Decision // requests queued at the gate, by ID
 	table          *routing.Table
 	splitter       catalog.Splitter
@@ -115,6 +118,7 @@
 			AnnounceInterval: cfg.Bounds.Heartbeat, DrainTime: cfg.Bounds.Drain, HistoryWait: historyWait,
 		}),
 		gate:        slots.New(),
+		learner:     capacity.New(cfg.Seed),
 		slotWaiters: map[uint64]chan slots.Decision{},
 		table: routing.New(routing.Config{
 			Seed: cfg.Seed, DataCentre: cfg.Self.DataCentre, Self: cfg.Self.Node, RampTime: rampTime,
@@ -240,6 +244,7 @@
 			n.publishPhase(now)
 			n.refreshLimiter(now)
 			n.updateSpill(now)
+			n.updateCapacity(now)
 			n.updateCut(now)
 			n.dispatchQueued(now) // the rate limit of the upstream may allow more requests now
 			n.wakeReader(now)
@@ -346,6 +351,9 @@
 			members[i] = records[i].Member
 		}
 		n.table.SetMembers(now, s, members)
+		for i := range records {
+			n.table.SetRate(records[i].Member.Node, records[i].Capacity)
+		}
 	}
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -178,6 +178,7 @@
 	n.mu.Lock()
 	sentTo := n.tracker.Current()
 	n.recordStart(now, id, req, now+time.Duration(remaining)*time.Millisecond)
+	start := n.capacityAtStart(now)
 	n.mu.Unlock()
 	r := req.request
 	r.Header = endToEndHeaders(r.Header, d.Key, d.Workspace, d.Caller, d.Instance)
@@ -201,6 +202,7 @@
 	if err != nil {
 		return nil, n.handleUpstreamError(ctx, now, err)
 	}
+	n.recordCapacity(req, start, response)
 	return n.checkResponse(req, sentTo, response)
 }
 
@@ -346,10 +348,14 @@
 func (n *Node) report(route string) report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.now()
 	return report{
-		Cut:   n.cut.Tighter(n.callGraph.CalleeCut(n.now(), route, n.cuts)),
-		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
-		Phase: n.tracker.Phase(n.now()),
+		Cut: n.cut.Tighter(n.callGraph.CalleeCut(now, route, n.cuts)),
+		Load: routing.Report{
+			InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit(),
+			UsualLatency: n.learner.RouteLatency(now, route), Slowness: n.learner.Slowness(now),
+		},
+		Phase: n.tracker.Phase(now),
 	}
 }
 
@@ -364,7 +370,7 @@
 	defer n.openRequests.Add(-1)
 	h, err := parseHop(r.Header.Get(hopHeader))
 	if err != nil {
-		n.writePeerRefusal(w, "", n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
+		n.writePeerRefusal(w, &hop{}, n.refusal(outcome.NotRun, outcome.BadRequest, err.Error()))
 		return
 	}
 	req := &servedRequest{hop: h, id: r.Header.Get(n.cfg.Dialect.RequestID), request: exchange.Request{
@@ -372,13 +378,13 @@
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
 	if p, ok := n.stopProgress(); ok && !shutdown.AcceptsFromPeer(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent}) {
-		n.writePeerRefusal(w, h.Route, n.stopRefusal(p))
+		n.writePeerRefusal(w, &h, n.stopRefusal(p))
 		return
 	}
 	result := n.serveUpstream(r.Context(), req)
 	if result.response == nil {
 		n.logPeerRefusal(req, result.refusal)
-		n.writePeerRefusal(w, h.Route, result.refusal)
+		n.writePeerRefusal(w, &h, result.refusal)
 		return
 	}
 	n.relayToPeer(w, req, result)
@@ -406,8 +412,8 @@
 }
 
 // writePeerRefusal sends a refusal and the state of this node to a peer.
-func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
-	w.Header()[loadHeader] = []string{n.report(route).encode()}
+func (n *Node) writePeerRefusal(w http.ResponseWriter, h *hop, r outcome.Refusal) {
+	w.Header()[loadHeader] = []string{n.peerReport(h).encode()}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenResponses.Inc(1)
 	}
@@ -436,7 +442,7 @@
 		result.release(complete)
 	}()
 	copyHeader(w.Header(), endToEndHeaders(result.response.Header))
-	w.Header()[loadHeader] = []string{n.report(req.Route).encode()}
+	w.Header()[loadHeader] = []string{n.peerReport(&req.hop).encode()}
 	if result.response.ContentLength >= 0 {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(result.response.ContentLength, 10)}
 	}
