Keep the dips of the concurrency limit out of the cut

The limit is lowered for 200 ms every 10 to 60 s to look for a knee. The cut counted that as lost capacity, so entry nodes would have refused requests that the upstream's queue or other upstreams take. The cut now counts the limit without the dip. Seen in the code, not in a run.

TestDips checks both, and that the limit dips in at most 2 % of the ticks. go test -race ./internal/sidecar ./internal/capacity passes.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -240,6 +240,12 @@
 	return l.knee.share(now, running, l.slots, usable) * float64(l.slots)
 }
 
+// DipFactor returns how much higher the limit would be if it were not lowered for a moment to
+// look for a knee. The dip says nothing about what the upstream takes.
+func (l *Learner) DipFactor(now time.Duration, usable float64) float64 {
+	return l.knee.dipFactor(now, usable)
+}
+
 // Knee returns the fraction of the slots from which on the upstream becomes slower, or 1 if
 // none is known.
 func (l *Learner) Knee() float64 { return l.knee.at }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+// The limit must dip for a small part of the time, and the capacity that cuts count must not
+// dip with it: entry nodes would refuse requests that other upstreams take.
+func TestDips(t *testing.T) {
+	u := newUpstream()
+	u.running = 80
+	dips, ticks := 0, 0
+	for ; u.now < 2*time.Minute; ticks++ {
+		u.run(50 * time.Millisecond)
+		limit := u.learner.Limit(u.now, u.running, usableShare)
+		if limit < 90 {
+			dips++
+		}
+		if steady := limit * u.learner.DipFactor(u.now, usableShare); steady < 93.9 || steady > 94.1 {
+			t.Fatalf("at %v the limit without dips is %.1f, want 94", u.now, steady)
+		}
+	}
+	if dips == 0 || dips > ticks/50 {
+		t.Errorf("the limit dips in %d of %d ticks, want some, at most one in 50", dips, ticks)
+	}
+}
+
 // Without reports of the slowness, and some time after the last one, the package must have
 // no effect. A restart of the upstream must keep the speed of its host, and the responses
 // of the cold upstream must not count.
--- a/internal/capacity/knee.go
+++ b/internal/capacity/knee.go
@@ -108,6 +108,15 @@
 	return share
 }
 
+// dipFactor returns the limit without a dip relative to the present one.
+func (k *knee) dipFactor(now time.Duration, usable float64) float64 {
+	share := min(k.at, usable)
+	if now >= k.dipEnds || k.dipLimit >= share {
+		return 1
+	}
+	return share / k.dipLimit
+}
+
 // update lowers the limit if the responses show a knee.
 func (k *knee) update(now time.Duration, usable float64) {
 	best, above, ok := k.find(now, usable)
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -8,6 +8,7 @@
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/pressure"
+	"cardamomhatch/internal/slots"
 )
 
 const (
@@ -46,6 +47,7 @@
 	if n.gate.Spills() {
 		capacity = float64(n.gate.Limit())
 	}
+	capacity *= n.learner.DipFactor(now, slots.UsableShare)
 	n.cut = n.meter.Cut(now, capacity, queued)
 	if now-n.cutLoggedAt < cutLogInterval || n.cut.Distance(n.loggedCut) < cutLogStep {
 		return
