--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -47,7 +47,9 @@
 	if n.gate.Spills() {
 		capacity = float64(n.gate.Limit())
 	}
-	capacity *= n.learner.DipFactor(now, slots.UsableShare)
+	if n.gate.RateLimit() == 0 {
+		capacity *= n.learner.DipFactor(now, slots.UsableShare)
+	}
 	n.cut = n.meter.Cut(now, capacity, queued)
 	if now-n.cutLoggedAt < cutLogInterval || n.cut.Distance(n.loggedCut) < cutLogStep {
 		return
