Ignore the latencies of a cold upstream in its capacity

An upstream may become cold without a restart. Its latencies would lower the speed that entry nodes know for some seconds after it is warm, in addition to the limit on its rate. They no longer count; TestWithoutReports checks it.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -139,6 +139,10 @@
 	l.knee = newKnee(now, l.knee.random)
 }
 
+// Ignore makes the latencies of all requests that were sent until now not count. It is to be
+// called while the upstream is cold without having started again.
+func (l *Learner) Ignore(now time.Duration) { l.settledAt = max(l.settledAt, now) }
+
 // Active reports whether the upstream reports how slow its host is.
 func (l *Learner) Active(now time.Duration) bool {
 	return l.reported && now-l.reportedAt < reportTTL
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -153,6 +153,14 @@
 	if after := u.learner.Rate(u.now, usableShare); before == 0 || after != before {
 		t.Errorf("the rate is %.0f after a restart, want %.0f as before", after, before)
 	}
+	u.now += settleTime
+	for end := u.now + 2*time.Second; u.now < end; {
+		u.learner.Ignore(u.now)
+		u.run(5 * time.Millisecond)
+	}
+	if after := u.learner.Rate(u.now, usableShare); after != before {
+		t.Errorf("the rate is %.0f after 2 s in which the upstream was cold, want %.0f as before", after, before)
+	}
 	if later := u.now + reportTTL; u.learner.Rate(later, usableShare) != 0 || u.learner.RouteLatency(later, "r") != 0 {
 		t.Errorf("the capacity still counts %v after the last report", reportTTL)
 	}
--- a/internal/sidecar/capacity.go
+++ b/internal/sidecar/capacity.go
@@ -61,6 +61,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
+	if n.tracker.ColdLeft(now) > 0 {
+		n.learner.Ignore(now)
+	}
 	n.learner.Record(now, capacity.Response{
 		Route: req.Route, Latency: now - start.at, Running: start.running, Slots: load.Slots, Refused: refused,
 		Slowness: load.Slowness, SlownessAtStart: start.figure,
