--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -192,6 +192,7 @@
 	n.updateOriginMetrics()
 	metrics.GetOrRegisterGaugeFloat64("gate.rate_limit", n.cfg.Metrics).Update(n.gate.RateLimit())
 	gauge("upstream.cold.left_ms", n.tracker.ColdLeft(now).Milliseconds())
+	n.updateCapacityMetrics(now)
 	gauge("roster.nodes", int64(n.roster.Len(now)))
 	gauge("store.reader_rank", int64(n.roster.ReaderRank()))
 	gauge("declaration.age_ms", n.roster.DeclarationAge(now).Milliseconds())
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -28,7 +28,10 @@
 var dialect = Dialect{
 	RequestID: "X-Request", Remaining: "X-Remaining", Key: "X-Key", Workspace: "X-Workspace", Caller: "X-Caller",
 	Instance: "X-Instance", NotRun: "X-Unrun", Load: "X-Load", RateLimit: limitHeader, Leaving: leavingHeader, ProbeInstance: "X-Answerer", ProbeCold: "X-Cold",
-	ParseLoad: func(string) (Load, bool) { return Load{Slots: 8}, true },
+	ParseLoad: func(value string) (Load, bool) {
+		slowness, _ := strconv.Atoi(value) // zero if the value is not a number
+		return Load{Slots: 8, Slowness: slowness}, true
+	},
 	ParseCold: func(value string) (time.Duration, bool) {
 		left, err := time.ParseDuration(value)
 		return left, err == nil
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -21,7 +21,7 @@
 	loadHeader   = "Cardamomhatch-Load"
 	originHeader = "Cardamomhatch-Origin" // origin and fanout of a nested call; see origin.go
 	hopFields    = 12                     // least number of fields in hopHeader, separated by semicolons
-	reportFields = 5                      // least number of fields in loadHeader, separated by commas
+	reportFields = 5                      // positional fields in loadHeader, separated by commas; named ones may follow
 )
 
 // hop is the metadata that an entry node sends with a request to the serving node, in
@@ -40,9 +40,10 @@
 	Remaining     time.Duration // until the deadline
 	MaxWait       time.Duration // longest time in the queue of the serving node
 	Grace         time.Duration // for which a response is awaited beyond the deadline
-	NamedReport   bool          // the entry node reads the named fields of the report
+	NamedReport   bool          // the entry node reads the cut for an origin in the report
 	Origin        string        // entry route of the request, or of the request on whose behalf it is made; empty: not known
 	Fanout        float64       // requests like this one for each entry request of the origin
+	WantsCapacity bool          // the entry node reads the capacity in the report
 }
 
 // encode returns the value of hopHeader. Names are not escaped: catalog.New rejects
@@ -55,7 +56,7 @@
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}, {h.NamedReport, "n"}} {
+	}{{h.Nested, "i"}, {h.NonIdempotent, "o"}, {h.Retry, "r"}, {h.NamedReport, "n"}, {h.WantsCapacity, "c"}} {
 		if flag.set {
 			flags += flag.name
 		}
@@ -93,10 +94,11 @@
 		Target: target, Service: mesh.Service(fields[2]), Workspace: mesh.Workspace(fields[3]), Caller: mesh.Service(fields[4]),
 		Route: fields[9], Level: pressure.Level(min(max(numbers[0], 0), pressure.NumLevels-1)),
 		Nested: strings.Contains(fields[6], "i"), NonIdempotent: strings.Contains(fields[6], "o"), Retry: strings.Contains(fields[6], "r"),
-		NamedReport: strings.Contains(fields[6], "n"),
-		Remaining:   time.Duration(numbers[1]) * time.Millisecond,
-		MaxWait:     time.Duration(numbers[2]) * time.Millisecond,
-		Grace:       min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
+		NamedReport:   strings.Contains(fields[6], "n"),
+		WantsCapacity: strings.Contains(fields[6], "c"),
+		Remaining:     time.Duration(numbers[1]) * time.Millisecond,
+		MaxWait:       time.Duration(numbers[2]) * time.Millisecond,
+		Grace:         min(max(time.Duration(numbers[3])*time.Millisecond, 0), maxGrace),
 	}, nil
 }
 
@@ -118,6 +120,9 @@
 	if r.HasOrigin {
 		value += encodeOriginCut(r.Origin)
 	}
+	if r.Load.UsualLatency > 0 {
+		value += fmt.Sprintf(",%s=%d,%s=%.2f", usualLatencyKey, r.Load.UsualLatency.Microseconds(), slownessKey, r.Load.Slowness)
+	}
 	return value
 }
 
@@ -142,6 +147,10 @@
 	}
 	r := report{Load: routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, Phase: roster.Phase(numbers[3]), Cut: cut}
 	r.Origin, r.HasOrigin = parseOriginCut(fields[reportFields:])
+	for _, field := range fields[reportFields:] {
+		key, value, _ := strings.Cut(field, "=")
+		r.setCapacity(key, value)
+	}
 	return r, true
 }
 
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -9,6 +9,7 @@
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/pressure"
+	"cardamomhatch/internal/slots"
 )
 
 const (
@@ -49,6 +50,9 @@
 	if n.gate.Spills() {
 		capacity = float64(n.gate.Limit())
 	}
+	if n.gate.RateLimit() == 0 {
+		capacity *= n.learner.DipFactor(now, slots.UsableShare)
+	}
 	n.cut = n.meter.Cut(now, capacity, queued)
 	_, originShare := n.meter.Origins()
 	moved := max(n.cut.Distance(n.loggedCut), math.Abs(originShare-n.origins.loggedShare))
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -183,6 +183,7 @@
 	n.mu.Lock()
 	sentTo := n.tracker.Current()
 	n.recordStart(now, id, req, now+time.Duration(remaining)*time.Millisecond)
+	start := n.capacityAtStart(now)
 	n.mu.Unlock()
 	r := req.request
 	r.Header = endToEndHeaders(r.Header, d.Key, d.Workspace, d.Caller, d.Instance)
@@ -206,6 +207,7 @@
 	if err != nil {
 		return nil, n.handleUpstreamError(ctx, now, err)
 	}
+	n.recordCapacity(req, start, response)
 	return n.checkResponse(req, sentTo, response)
 }
 
@@ -356,8 +358,11 @@
 	defer n.mu.Unlock()
 	now := n.now()
 	r := report{
-		Cut:   n.cut.Tighter(n.callGraph.CalleeCut(now, h.Route, n.cuts)),
-		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
+		Cut: n.cut.Tighter(n.callGraph.CalleeCut(now, h.Route, n.cuts)),
+		Load: routing.Report{
+			InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit(),
+			UsualLatency: n.learner.RouteLatency(now, h.Route), Slowness: n.learner.Slowness(now),
+		},
 		Phase: n.tracker.Phase(now),
 	}
 	r.Origin, r.HasOrigin = n.reportedOrigin(now, h, r.Cut)
@@ -419,7 +424,7 @@
 
 // writePeerRefusal sends a refusal and the state of this node to a peer.
 func (n *Node) writePeerRefusal(w http.ResponseWriter, h *hop, r outcome.Refusal) {
-	w.Header()[loadHeader] = []string{n.report(h).encode()}
+	w.Header()[loadHeader] = []string{n.peerReport(h).encode()}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenResponses.Inc(1)
 	}
@@ -452,7 +457,7 @@
 		result.release(complete)
 	}()
 	copyHeader(w.Header(), endToEndHeaders(result.response.Header))
-	w.Header()[loadHeader] = []string{n.report(&req.hop).encode()}
+	w.Header()[loadHeader] = []string{n.peerReport(&req.hop).encode()}
 	if result.response.ContentLength >= 0 {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(result.response.ContentLength, 10)}
 	}
