Let the gate refuse all queued requests

Requests in the queue of an upstream whose data centre is evacuated must not run there. Gate.Flush refuses them all, and outcome.Evacuated is the reason.

TestFlushEmptiesTheQueue passes with the race detector.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -72,6 +72,7 @@
 	UpstreamShed
 	UpstreamLimited // the upstream names a limit on its requests per second, which is used up
 	UpstreamSilent  // the upstream answered others, but not this request until its deadline
+	Evacuated       // the operator has evacuated the data centres of all upstreams that could run the call
 
 	numReasons
 )
@@ -116,6 +117,7 @@
 	UpstreamShed:     {"upstream-shed", http.StatusServiceUnavailable},
 	UpstreamLimited:  {"upstream-limited", http.StatusServiceUnavailable},
 	UpstreamSilent:   {"upstream-silent", http.StatusGatewayTimeout},
+	Evacuated:        {"evacuated", http.StatusServiceUnavailable},
 }
 
 // String returns the name of the reason in the wire format.
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -301,6 +301,21 @@
 	return true
 }
 
+// Flush removes all requests from the queue and returns their refusals, the most important
+// first.
+func (g *Gate) Flush(reason outcome.Reason) []Decision {
+	var out []Decision
+	for i := range g.queues {
+		for _, item := range g.queues[i] {
+			out = append(out, Decision{item.ID, Refuse, reason})
+		}
+		g.queues[i] = nil
+	}
+	clear(g.byID)
+	g.queued = 0
+	return out
+}
+
 // growLimit raises a lowered limit by one slot per growInterval.
 func (g *Gate) growLimit(now time.Duration) {
 	if maxLimit := g.maxLimit(); g.limit < maxLimit {
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/pressure"
 )
 
 const second = time.Second
@@ -144,3 +145,25 @@
 		t.Errorf("the limit is %d after a refusal, want the one slot", g.Limit())
 	}
 }
+
+// A request that stays in the queue of an evacuated upstream would run there once a slot is free.
+func TestFlushEmptiesTheQueue(t *testing.T) {
+	g := New()
+	g.SetSlots(1)
+	for id := range uint64(4) {
+		g.Arrive(0, Request{ID: id, Level: pressure.Level(id), LatestStart: time.Second, Deadline: time.Minute})
+	}
+	decisions := g.Flush(outcome.Evacuated)
+	if len(decisions) != 3 || g.Queued() != 0 || g.Cancel(2) {
+		t.Errorf("%d requests are refused and %d remain, want 3 and none", len(decisions), g.Queued())
+	}
+	for _, d := range decisions {
+		if d.Verdict != Refuse || d.Reason != outcome.Evacuated {
+			t.Errorf("decision %+v, want a refusal for the evacuation", d)
+		}
+	}
+	g.Done(time.Millisecond, true)
+	if _, ok := g.Next(time.Millisecond); ok || g.Running() != 0 {
+		t.Error("a refused request runs after the end of another")
+	}
+}
