Spread evacuated data centres among the nodes

The state of the data centres must reach each node although its readers are silent or the store is down. Digests carry a hash of the state, and the state itself after a change and in reply to another hash. Records say that their node's data centre is evacuated. Members leaves out nodes of evacuated data centres.

Without an evacuation, digests hold nothing more.

--- a/internal/roster/declaration.go
+++ b/internal/roster/declaration.go
@@ -56,7 +56,7 @@
 func (r *Roster) announcement(now time.Duration) Digest {
 	d := Digest{
 		From: r.self.Member, Version: r.declaration.version, Confirmed: r.declaration.confirmed,
-		ReadRound: r.reads.round, Substitute: r.reads.substitute,
+		ReadRound: r.reads.round, Substitute: r.reads.substitute, Evacuations: r.evacuations.Hash(),
 	}
 	if d.Confirmed {
 		d.Age = now - r.declaration.confirmedAt
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/mesh"
 )
 
@@ -23,6 +24,12 @@
 	// records, or are sent to one.
 	Claim   uint64
 	Entries []Seen
+	// Evacuations is the hash of what the sender knows of evacuated data centres, zero if it
+	// knows of none, and EvacuationState is all that it knows, if it has changed or differs from
+	// what the receiver knows. Replies counts the digests to which this one replies.
+	Evacuations     uint64
+	EvacuationState *evacuation.State
+	Replies         uint8
 }
 
 // Summary replies to a Digest with another hash: it holds the hash of each bucket.
@@ -61,6 +68,9 @@
 	Raw         []byte
 	Offset      uint64
 	OffsetKnown bool
+	// Evacuations is what the sender knows of evacuated data centres up to Offset. Nodes of
+	// earlier versions leave it out.
+	Evacuations *evacuation.State
 }
 
 // MessageName implements mesh.Message.
@@ -128,6 +138,7 @@
 func (r *Roster) handleDigest(now time.Duration, d Digest) {
 	r.compareDeclaration(now, d)
 	r.compareReadState(now, d)
+	r.compareEvacuations(now, d)
 	if len(d.Entries) > 0 {
 		r.answerListingDigest(now, d)
 		return
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -27,6 +27,7 @@
 
 	"github.com/pkg/errors"
 
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/mesh"
 )
 
@@ -91,6 +92,9 @@
 	Demand   map[mesh.Workspace]float64 // requests per second that arrive at the node
 	// Departure is that of the node's upstream, or of the one before it.
 	Departure Departure `json:",omitzero"`
+	// Evacuated states that the operator has evacuated the node's data centre, so that the node
+	// sends no request to its upstream. In all else the node takes part in the fleet.
+	Evacuated bool `json:",omitempty"`
 }
 
 // seen returns the version of the record.
@@ -124,7 +128,9 @@
 
 // AcceptsWork reports whether new work can be sent to the node, according to its
 // record.
-func (r *Record) AcceptsWork() bool { return r.Phase == Ready && !r.Stopping && !r.Left }
+func (r *Record) AcceptsWork() bool {
+	return r.Phase == Ready && !r.Stopping && !r.Left && !r.Evacuated
+}
 
 // Roster holds what one node knows about the fleet. It is not safe for concurrent use.
 // Times are durations since the node was created.
@@ -136,6 +142,7 @@
 	random              *rand.Rand
 	nextDigest          time.Duration // when the next digest is due
 	declaration         declarationState
+	evacuations         *evacuation.Set
 	reads               readState
 	changed             bool          // result of the next call of Changed
 	synced              bool          // records from a peer or the store have arrived
@@ -159,6 +166,8 @@
 		self:    Record{Member: self, Claim: claim, Serial: 1},
 		entries: map[mesh.Host]*entry{},
 		random:  rand.New(rand.NewPCG(seed, claim)),
+
+		evacuations: evacuation.New(),
 	}
 	r.rehashSelf()
 	return r
@@ -299,11 +308,11 @@
 // them is better than failing.
 func (r *Roster) Members(now time.Duration, service mesh.Service) []Record {
 	var live, doubtful []Record
-	if r.self.Member.Service == service && r.self.AcceptsWork() {
+	if r.self.Member.Service == service && r.self.AcceptsWork() && !r.evacuated(&r.self) {
 		live = append(live, r.self)
 	}
 	for _, e := range r.entries {
-		if e.record.Member.Service != service || !e.record.AcceptsWork() {
+		if e.record.Member.Service != service || !e.record.AcceptsWork() || r.evacuated(&e.record) {
 			continue
 		}
 		if e.silent || !e.confirmed {
