Evacuate data centres

The node beside the upstream refuses new and queued requests as not run once it knows, and says so in its record and reports. Entry nodes leave the data centre out, and learn of the evacuation from a refusal if they have not heard of it, without a penalty for the refusing node. A node that starts uses its upstream only once the store or a peer has told the state, or after 2 s. Source.Next returns the operator's changes; a declaration from a peer carries the state, since its position would hide earlier evacuations.

The report header takes further fields.

Tests of sidecar, roster, platform, slots, evacuation and outcome pass with the race detector. Without the flush, the check of the position and the lesson from a refusal, TestUpstreamWaitsForTheEvacuations and TestEntryNodeLearnsAnEvacuationFromARefusal fail.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -86,6 +86,9 @@
 	if refusal, ok := outcome.Parse(response.Header); ok {
 		_, _ = discardBody(response)
 		response.Close()
+		if a.report.Evacuated && refusal.Execution == outcome.NotRun && refusal.Reason == outcome.NoUpstream {
+			refusal.Reason, refusal.Detail = outcome.Evacuated, "evacuated data centre: "+string(a.target.DataCentre)
+		}
 		a.refusal = refusal
 		return
 	}
@@ -120,7 +123,7 @@
 		c.attempts++
 	}
 	sample := routing.Sample{Latency: n.now() - a.began, Route: c.route.Name, Bytes: int64(len(c.body))}
-	if a.hasReport {
+	if a.hasReport && !a.report.Evacuated {
 		sample.Report = a.report.Load
 	}
 	switch {
@@ -136,10 +139,16 @@
 		// The pause is meant for this node. Other upstreams may take the caller's retry earlier.
 		sample.Pause, a.refusal.RetryAfter = a.refusal.RetryAfter, 0
 	}
+	if a.refusal.Reason == outcome.Evacuated {
+		sample.Pause = evacuatedPause
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.table.RecordEnd(n.now(), target.Node, sample)
-	if a.hasReport {
+	switch {
+	case a.report.Evacuated:
+		n.learnEvacuation(n.now(), target, a.report.EvacuatedAt)
+	case a.hasReport:
 		n.cuts.Observe(n.now(), c.cutTarget(), a.report.Cut)
 	}
 }
@@ -151,7 +160,7 @@
 		return routing.Cancelled
 	case outcome.Overloaded, outcome.QueueTimeout, outcome.UpstreamShed, outcome.UpstreamSilent:
 		return routing.Refused
-	case outcome.UpstreamLimited:
+	case outcome.UpstreamLimited, outcome.Evacuated: // neither says anything about the latency
 		return routing.Limited
 	case outcome.Draining, outcome.NoUpstream:
 		return routing.NotServing
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
@@ -50,12 +51,24 @@
 	Known  bool // Offset is set
 }
 
-// Source reads the operator's declaration.
+// position returns the position in the log of the operator's records.
+func (c Cursor) position() evacuation.Position { return evacuation.Position{Offset: c.Offset} }
+
+// Update is what the operator has written since a position at the store.
+type Update struct {
+	Declaration []byte // the newest one; nil if there is none
+	// Evacuations are the changes of which data centres are evacuated, in their order. If Listed
+	// is set, they are instead all data centres that are evacuated.
+	Evacuations []evacuation.Entry
+	Listed      bool
+	Next        Cursor // the position that follows
+}
+
+// Source reads what the operator writes: the declaration and the evacuations of data centres.
 type Source interface {
-	// Next returns the newest declaration after the cursor and the cursor that
-	// follows it. If there is none, Next waits for one, for up to the given time; raw
-	// is nil if none arrives.
-	Next(ctx context.Context, after Cursor, wait time.Duration) (raw []byte, next Cursor, err error)
+	// Next returns what was written after the cursor. If that is nothing, Next waits for it, for
+	// up to the given time.
+	Next(ctx context.Context, after Cursor, wait time.Duration) (Update, error)
 	// Decode parses and validates a declaration.
 	Decode(raw []byte) (*catalog.Catalog, error)
 }
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -219,10 +219,13 @@
 		return
 	}
 	execution := outcome.NotRun // of all attempts together; NotRun is the lowest value
-	last := c.node.refusal(outcome.NotRun, outcome.NoUpstream, "")
+	var last outcome.Refusal
 	for {
 		target, ok := c.pickNode()
 		if !ok {
+			if len(c.triedNodes) == 0 {
+				last = c.noNodeRefusal()
+			}
 			c.refuse(last)
 			return
 		}
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -131,8 +131,8 @@
 type nodeMetrics struct {
 	registry                                                                       metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenResponses, retries metrics.Counter
-	storeFailures, rejectedDeclarations                                            metrics.Counter
-	declaration                                                                    metrics.Gauge
+	storeFailures, rejectedDeclarations, evacuationRefusals                        metrics.Counter
+	declaration, evacuated                                                         metrics.Gauge
 	latency, queueTime                                                             metrics.Histogram
 }
 
@@ -155,7 +155,9 @@
 		retries:              counter("attempts.repeated"),
 		storeFailures:        counter("store.failures"),
 		rejectedDeclarations: counter("declarations.refused"),
+		evacuationRefusals:   counter("evacuation.refused"),
 		declaration:          metrics.GetOrRegisterGauge("declaration.version", r),
+		evacuated:            metrics.GetOrRegisterGauge("evacuation.active", r),
 		latency:              histogram("requests.latency_us"),
 		queueTime:            histogram("queue.wait_us"),
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/ratelimit"
@@ -53,7 +54,7 @@
 			}
 			continue
 		}
-		raw, next, err := n.readDeclaration(cursor, plan)
+		update, err := n.readDeclaration(cursor, plan)
 		if n.runCtx.Err() != nil {
 			return
 		}
@@ -87,12 +88,12 @@
 		answered := n.now()
 		n.storeAnswered.Store(int64(answered))
 		backoff.Reset()
-		n.advanceCursor(next)
-		if raw != nil {
-			n.applyDeclaration(roster.Declaration{Raw: raw}, "store", "")
+		n.advanceCursor(update)
+		if update.Declaration != nil {
+			n.applyDeclaration(roster.Declaration{Raw: update.Declaration}, "store", "")
 		}
 		n.reportAnsweredRead(answered)
-		if raw != nil && !n.pause(minReadInterval) {
+		if (update.Declaration != nil || len(update.Evacuations) > 0) && !n.pause(minReadInterval) {
 			return
 		}
 	}
@@ -144,17 +145,40 @@
 	}
 }
 
-// advanceCursor records the position at the store up to which the declarations are known. The
-// zero cursor makes the next read list the newest declaration.
-func (n *Node) advanceCursor(next Cursor) {
+// advanceCursor records the position at the store up to which the declarations and evacuations
+// are known, and takes over the evacuations. The zero cursor makes the next read list the newest
+// declaration.
+func (n *Node) advanceCursor(update Update) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now, next := n.now(), update.Next
+	n.updateEvacuations(now, "store", "", func(s *evacuation.Set) {
+		switch {
+		case update.Listed:
+			s.Listed(now, next.position(), update.Evacuations)
+		case next.Known:
+			s.Read(now, next.position(), update.Evacuations)
+		}
+	})
 	if next.Known && n.cursor.Known && next.Offset < n.cursor.Offset {
 		return // a peer has sent a later declaration during the read
 	}
 	n.cursor = next
 }
 
+// mergeEvacuations takes over what a peer knows of evacuated data centres.
+func (n *Node) mergeEvacuations(d roster.Declaration, from string) {
+	if d.Evacuations == nil {
+		return
+	}
+	n.mu.Lock()
+	now := n.now()
+	n.updateEvacuations(now, "peer", from, func(s *evacuation.Set) { s.Merge(now, *d.Evacuations) })
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
+}
+
 // reportAnsweredRead tells the peers of a read that the store answered. It held no newer
 // declaration at the given time.
 func (n *Node) reportAnsweredRead(at time.Duration) {
@@ -182,19 +206,19 @@
 
 // readDeclaration makes one read of the declaration. The error is or wraps
 // context.DeadlineExceeded if the store did not answer in time.
-func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) ([]byte, Cursor, error) {
+func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) (Update, error) {
 	n.readBegan.Store(int64(n.now()))
 	ctx, cancel := n.context(plan.Limit())
 	defer cancel()
-	raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
+	update, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
 	if err == nil {
-		return raw, next, nil
+		return update, nil
 	}
 	n.metrics.storeFailures.Inc(1)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		err = errors.Wrapf(context.DeadlineExceeded, "read of the declaration: %v", err)
 	}
-	return nil, cursor, err
+	return Update{}, err
 }
 
 // logReading logs that the node begins or ceases to read the declaration.
@@ -239,7 +263,9 @@
 	}
 	n.current.Store(c)
 	n.rawDeclaration = bytes.Clone(raw)
-	if d.OffsetKnown && (!n.cursor.Known || d.Offset > n.cursor.Offset) {
+	// Without the evacuations up to the offset, this node would never read them.
+	complete := d.Evacuations != nil && d.Evacuations.Known
+	if d.OffsetKnown && complete && (!n.cursor.Known || d.Offset > n.cursor.Offset) {
 		n.cursor = Cursor{Offset: d.Offset, Known: true}
 	}
 	n.configureComponents(c)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
@@ -39,7 +40,10 @@
 	mu          sync.Mutex
 	version     uint64
 	declaration func(version uint64) catalog.Declaration
-	changed     chan struct{}         // closed when a new version is stored
+	end         uint64                // number of records of the operator
+	declaredAt  uint64                // position after the newest declaration
+	evacuations []evacuation.Entry    // all records about evacuations, oldest first
+	changed     chan struct{}         // closed when the operator has written
 	records     map[string][]byte     // published records, by key
 	unavailable map[string]bool       // hosts whose calls the store refuses; "" stands for all hosts
 	silent      map[string]bool       // hosts whose reads the store does not answer
@@ -49,7 +53,7 @@
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+	return &store{version: 1, declaration: d, end: 1, declaredAt: 1, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
 }
 
 // loseOpenReads makes the store never respond to the reads that are open now.
@@ -68,10 +72,46 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.declaration = d
+	s.append()
+	s.declaredAt = s.end
+}
+
+// append counts a record of the operator. s.mu must be held.
+func (s *store) append() {
+	s.end++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// evacuate stores that a data centre is evacuated, or that it is taken back.
+func (s *store) evacuate(dataCentre mesh.DataCentre, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append()
+	s.evacuations = append(s.evacuations, evacuation.Entry{DataCentre: dataCentre, Evacuated: evacuated, At: evacuation.Position{Offset: s.end}})
+}
+
+// update returns what was written after the cursor. s.mu must be held.
+func (s *store) update(after Cursor) Update {
+	u := Update{Listed: !after.Known, Next: Cursor{Offset: s.end, Known: true}}
+	if !after.Known || s.declaredAt > after.Offset {
+		u.Declaration = []byte(strconv.FormatUint(s.version, 10))
+	}
+	newest := map[mesh.DataCentre]evacuation.Entry{}
+	for _, e := range s.evacuations {
+		newest[e.DataCentre] = e
+		if after.Known && e.At.Offset > after.Offset {
+			u.Evacuations = append(u.Evacuations, e)
+		}
+	}
+	for _, e := range newest {
+		if u.Listed && e.Evacuated {
+			u.Evacuations = append(u.Evacuations, e)
+		}
+	}
+	return u
+}
+
 // storeClient gives the node on one host access to the store, as its Source and its
 // Directory. The encoded form of a declaration is its version number in decimal.
 type storeClient struct {
@@ -90,7 +130,7 @@
 	return nil
 }
 
-func (c storeClient) Next(ctx context.Context, after Cursor, wait time.Duration) ([]byte, Cursor, error) {
+func (c storeClient) Next(ctx context.Context, after Cursor, wait time.Duration) (Update, error) {
 	lost := make(chan struct{})
 	c.mu.Lock()
 	c.reads[c.host]++
@@ -105,27 +145,27 @@
 	}()
 	for {
 		if err := c.checkAvailable(); err != nil {
-			return nil, after, err
+			return Update{}, err
 		}
 		c.mu.Lock()
-		version, changed, silent := c.version, c.changed, c.silent[c.host]
+		update, changed, silent := c.update(after), c.changed, c.silent[c.host]
 		c.mu.Unlock()
 		if silent {
 			<-ctx.Done()
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		}
-		if !after.Known || version > after.Offset {
-			return []byte(strconv.FormatUint(version, 10)), Cursor{Offset: version, Known: true}, nil
+		if !after.Known || update.Next.Offset > after.Offset {
+			return update, nil
 		}
 		select {
 		case <-changed:
 		case <-lost:
 			<-ctx.Done()
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-ctx.Done():
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-time.After(wait):
-			return nil, after, nil
+			return Update{Next: after}, nil
 		}
 	}
 }
@@ -170,6 +210,7 @@
 	upstreamAddress string
 	instance        string
 	service         mesh.Service
+	dataCentre      mesh.DataCentre
 	slots           int
 	log             *logBuffer
 	mu              sync.Mutex
@@ -261,7 +302,13 @@
 // startHost starts an upstream and the node next to it.
 func startHost(t testing.TB, s *store, name string, service mesh.Service, slots int) *host {
 	t.Helper()
-	h := &host{instance: "i-" + name, service: service, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
+	return startHostIn(t, s, "dc", name, service, slots)
+}
+
+// startHostIn does the same in the given data centre.
+func startHostIn(t testing.TB, s *store, dataCentre mesh.DataCentre, name string, service mesh.Service, slots int) *host {
+	t.Helper()
+	h := &host{instance: "i-" + name, service: service, dataCentre: dataCentre, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
 	upstreamListener := listen(t)
 	server := &http.Server{Handler: h}
 	go server.Serve(upstreamListener)
@@ -280,7 +327,7 @@
 	h.node = New(Config{
 		Self: mesh.Member{
 			Node:       mesh.NodeID{Host: mesh.Host(name), Incarnation: mesh.Incarnation(time.Now().UnixNano())},
-			DataCentre: "dc", Service: h.service, PeerAddress: peers.Addr().String(),
+			DataCentre: h.dataCentre, Service: h.service, PeerAddress: peers.Addr().String(),
 		},
 		Claim: uint64(time.Now().UnixMilli()), // orders the incarnations on this host
 		Seed:  7, UpstreamAddress: h.upstreamAddress,
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/pressure"
@@ -20,7 +21,7 @@
 	hopHeader    = "Cardamomhatch-Hop"
 	loadHeader   = "Cardamomhatch-Load"
 	hopFields    = 12 // fields in hopHeader, separated by semicolons
-	reportFields = 5  // fields in loadHeader, separated by commas
+	reportFields = 5  // positional fields in loadHeader, separated by commas; named ones, name=value, may follow
 )
 
 // hop is the metadata that an entry node sends with a request to the serving node, in
@@ -101,18 +102,23 @@
 	Load  routing.Report
 	Phase roster.Phase
 	Cut   pressure.Cut // level-wise minimum of the cuts of the upstream and of all services that the route calls
+	// Evacuated states that the data centre of the node is evacuated, by the record at
+	// EvacuatedAt.
+	Evacuated   bool
+	EvacuatedAt evacuation.Position
 }
 
 // encode returns the value of loadHeader.
 func (r report) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode())
+	return fmt.Sprintf("%d,%d,%d,%d,%s", r.Load.InFlight, r.Load.Queued, r.Load.Limit, r.Phase, r.Cut.Encode()) +
+		encodeEvacuated(r.Evacuated, r.EvacuatedAt)
 }
 
 // parseReport parses the report in the header of a response. It returns false if the
-// report is missing or malformed.
+// report is missing or malformed. Fields that are not known are ignored.
 func parseReport(h http.Header) (report, bool) {
 	fields := strings.Split(h.Get(loadHeader), ",")
-	if len(fields) != reportFields {
+	if len(fields) < reportFields {
 		return report{}, false
 	}
 	var numbers [reportFields - 1]int
@@ -126,7 +132,9 @@
 	if err != nil {
 		return report{}, false
 	}
-	return report{routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, roster.Phase(numbers[3]), cut}, true
+	r := report{Load: routing.Report{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}, Phase: roster.Phase(numbers[3]), Cut: cut}
+	r.Evacuated, r.EvacuatedAt = parseEvacuated(fields[reportFields:])
+	return r, true
 }
 
 // unforwardedHeaders are the header fields that are not forwarded: those that apply to
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -66,7 +66,7 @@
 // publishPhase publishes a change of the local upstream's phase, instance or slots
 // to the peers. n.mu must be held.
 func (n *Node) publishPhase(now time.Duration) {
-	phase := n.tracker.Phase(now)
+	phase := n.upstreamPhase(now)
 	current := n.tracker.Current()
 	self := n.roster.Self()
 	departure := n.tracker.Departure()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -101,6 +101,7 @@
 	nestedDurations *shutdown.Durations
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
 	departureStored chan struct{}    // closed when storedDeparture changes
+	evacuated       bool             // this node's data centre is evacuated
 }
 
 // New creates a node. Call Start to serve requests.
@@ -276,6 +277,7 @@
 // handleMessage processes one control message from a peer.
 func (n *Node) handleMessage(e mesh.Envelope) {
 	if d, ok := e.Message.(roster.Declaration); ok {
+		n.mergeEvacuations(d, string(e.From.Host))
 		n.applyDeclaration(d, "peer", string(e.From.Host))
 		return
 	}
@@ -291,12 +293,14 @@
 	}
 	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
 	n.wakeReader(n.now())
+	n.applyEvacuations(n.now(), "peer", string(e.From.Host))
 	n.learnDeparture(n.roster.EarlierDeparture(), "peer")
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
 	if sendDeclaration && n.rawDeclaration != nil {
+		state := n.roster.Evacuations().State()
 		out = append(out, mesh.Outgoing{To: to, Message: roster.Declaration{
-			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known,
+			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known, Evacuations: &state,
 		}})
 	}
 	n.mu.Unlock()
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -56,6 +56,13 @@
 		return upstreamResult{refusal: refusal}
 	}
 	began := n.now()
+	n.mu.Lock()
+	refusal, evacuated := n.evacuationRefusal(began)
+	n.mu.Unlock()
+	if evacuated { // since the gate has let the request run
+		n.releaseSlot(began, false)
+		return upstreamResult{refusal: refusal}
+	}
 	n.metrics.queueTime.Update((began - arrived).Microseconds())
 	response, refusal := n.runUpstream(ctx, id, req, deadline)
 	if response == nil {
@@ -123,6 +130,10 @@
 // time in which each of the entry nodes gets one request. n.mu must be held.
 func (n *Node) slotRefusal(reason outcome.Reason) outcome.Refusal {
 	refusal := n.refusal(outcome.NotRun, reason, "")
+	if reason == outcome.Evacuated {
+		n.metrics.evacuationRefusals.Inc(1)
+		refusal.Detail = evacuatedDetail(n.roster.Evacuations())
+	}
 	if limit := n.gate.RateLimit(); reason == outcome.UpstreamLimited && limit > 0 {
 		contenders := float64(min(n.roster.Len(n.now()), maxContenders))
 		refusal.RetryAfter = min(time.Duration(contenders/limit*float64(time.Second)), maxPause)
@@ -134,9 +145,12 @@
 // acceptsRequest reports whether the request may be sent to the local upstream. n.mu
 // must be held.
 func (n *Node) acceptsRequest(req *servedRequest, now time.Duration) (outcome.Refusal, bool) {
+	refusal, evacuated := n.evacuationRefusal(now)
 	switch {
 	case req.Target.Host != n.cfg.Self.Node.Host || req.Service != n.cfg.Self.Service:
 		return n.refusal(outcome.NotRun, outcome.NoUpstream, "the request is for another node"), false
+	case evacuated:
+		return refusal, false
 	case n.tracker.Accepts(now):
 		return outcome.Refusal{}, true
 	case n.tracker.Phase(now) == roster.Leaving:
@@ -350,6 +364,8 @@
 		Cut:   n.cut.Tighter(n.callGraph.CalleeCut(n.now(), route, n.cuts)),
 		Load:  routing.Report{InFlight: n.gate.Running(), Queued: n.gate.Queued(), Limit: n.gate.Limit()},
 		Phase: n.tracker.Phase(n.now()),
+
+		Evacuated: n.evacuated, EvacuatedAt: n.roster.Evacuations().At(n.cfg.Self.DataCentre),
 	}
 }
 
@@ -408,6 +424,9 @@
 // writePeerRefusal sends a refusal and the state of this node to a peer.
 func (n *Node) writePeerRefusal(w http.ResponseWriter, route string, r outcome.Refusal) {
 	w.Header()[loadHeader] = []string{n.report(route).encode()}
+	if r.Reason == outcome.Evacuated {
+		r.Reason = outcome.NoUpstream // nodes of earlier versions know it, and others see the report
+	}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenResponses.Inc(1)
 	}
