Follow the era of the store

The store may come back from a copy some seconds old, in a higher era that the header Store-Era names. Offsets are given out again, and what was acknowledged since is lost: a reader that reads on misses records, and the departures and records of nodes are gone.

Positions carry the era. A higher era than that of the position makes the position unknown, responses of lower eras are ignored, and pages of two eras form no listing. Digests tell the highest era. Each node writes its record and departure again, spread over a second or one for each 300 nodes; departures of lost nodes are written by one of the others. A node that lists an empty copy lists again before it divides limits. Evacuations of an earlier era hold until a record of the new one, or a listing 5 s after it was first seen. Without the header nothing changes.

TestRollbackOfTheStore: two rollbacks within a second, all records there again 1.6 s after the second, one node without answers of the store.

--- a/internal/roster/declaration.go
+++ b/internal/roster/declaration.go
@@ -57,6 +57,7 @@
 	d := Digest{
 		From: r.self.Member, Version: r.declaration.version, Confirmed: r.declaration.confirmed,
 		ReadRound: r.reads.round, Substitute: r.reads.substitute, Evacuations: r.evacuations.Hash(),
+		Era: r.evacuations.Era(),
 	}
 	if d.Confirmed {
 		d.Age = now - r.declaration.confirmedAt
--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -1,5 +1,7 @@
 package roster
 
+import "cardamomhatch/internal/mesh"
+
 // departureReturns is the mean number of nodes that return a departure for one record of the
 // new incarnation. Fleets of fewer nodes return it from each.
 const departureReturns = 8
@@ -36,6 +38,29 @@
 // acknowledged, as far as the peers have returned it.
 func (r *Roster) EarlierDeparture() Departure { return r.earlierDeparture }
 
+// OrphanedDepartures returns the departures of hosts whose nodes have left or are silent, so that
+// they cannot write them to the store again, as far as this node is the one that is to do so
+// among the live ones.
+func (r *Roster) OrphanedDepartures() map[mesh.Host]Departure {
+	out := map[mesh.Host]Departure{}
+	for host, e := range r.entries {
+		if e.departure.IsZero() || !e.silent && !e.record.Left {
+			continue
+		}
+		own, chosen := mesh.RendezvousScore(string(host), r.self.Member.Node), true
+		for _, other := range r.entries {
+			if other.confirmed && !other.silent && !other.record.Left && mesh.RendezvousScore(string(host), other.record.Member.Node) > own {
+				chosen = false
+				break
+			}
+		}
+		if chosen {
+			out[host] = e.departure
+		}
+	}
+	return out
+}
+
 // learnDeparture takes the departure from a record of this node's host.
 func (r *Roster) learnDeparture(rec *Record) {
 	if rec.Departure.NewerThan(r.earlierDeparture) {
--- a/internal/roster/departure_test.go
+++ b/internal/roster/departure_test.go
@@ -77,3 +77,33 @@
 		t.Errorf("%d of %d nodes return the departure, want about %d", returned, nodes, departureReturns)
 	}
 }
+
+// After a rollback of the store, the departure of an upstream whose node is gone must be written
+// again by exactly one of the others, and that of a live node by itself only.
+func TestOneNodeWritesTheDepartureOfALostNode(t *testing.T) {
+	n := newNetwork(12, 5)
+	gone, live := member(3, 1).Node.Host, member(4, 1).Node.Host
+	for _, host := range []mesh.Host{gone, live} {
+		n.rosters[host].Update(true, func(r *Record) { r.Phase, r.Departure = Leaving, Departure{Instance: "i", StartTime: 100} })
+	}
+	n.mergeFromStore()
+	n.run(3 * time.Second)
+	n.down[gone] = true
+	n.run(8 * time.Second)
+	writers := 0
+	for host, r := range n.rosters {
+		if host == gone {
+			continue
+		}
+		orphaned := r.OrphanedDepartures()
+		if _, ok := orphaned[live]; ok {
+			t.Errorf("%s writes the departure of a live node", host)
+		}
+		if _, ok := orphaned[gone]; ok {
+			writers++
+		}
+	}
+	if writers != 1 {
+		t.Errorf("%d nodes write the departure of the lost node, want 1", writers)
+	}
+}
--- a/internal/roster/fuzz_test.go
+++ b/internal/roster/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/mesh"
 )
 
@@ -25,6 +26,9 @@
 	odd.PeerAddress = ""
 	for _, m := range []mesh.Message{
 		Digest{From: member(1, 1), Root: 7, Version: 1 << 63, Age: -time.Hour, Confirmed: true},
+		Digest{From: odd, Evacuations: 1, Replies: 255, Era: 1 << 63, EvacuationState: &evacuation.State{
+			Known: true, Through: evacuation.Position{Offset: 9}, Entries: []evacuation.Entry{{}, {DataCentre: "z", Evacuated: true}},
+		}},
 		Summary{From: odd, Buckets: make([]uint64, 1000)},
 		Summary{},
 		Versions{From: member(1, 1), Buckets: []uint8{0, 63, 64, 255}, Entries: []Seen{{Host: "host-000", Claim: 1 << 63, Serial: 1<<64 - 1, Silent: true}, {}}},
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -30,6 +30,7 @@
 	Evacuations     uint64
 	EvacuationState *evacuation.State
 	Replies         uint8
+	Era             uint64 // highest era of the store that the sender knows of
 }
 
 // Summary replies to a Digest with another hash: it holds the hash of each bucket.
@@ -71,6 +72,7 @@
 	// Evacuations is what the sender knows of evacuated data centres up to Offset. Nodes of
 	// earlier versions leave it out.
 	Evacuations *evacuation.State
+	Era         uint64 // of the store, in which it gave out the offset
 }
 
 // MessageName implements mesh.Message.
@@ -138,6 +140,7 @@
 func (r *Roster) handleDigest(now time.Duration, d Digest) {
 	r.compareDeclaration(now, d)
 	r.compareReadState(now, d)
+	r.evacuations.SeeEra(now, d.Era)
 	r.compareEvacuations(now, d)
 	if len(d.Entries) > 0 {
 		r.answerListingDigest(now, d)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -47,12 +47,15 @@
 
 // Cursor is a position in the platform's store. The zero value is the beginning.
 type Cursor struct {
+	Era    uint64 // of the store, in which it gave out the offset; zero if the store has none
 	Offset uint64
 	Known  bool // Offset is set
 }
 
 // position returns the position in the log of the operator's records.
-func (c Cursor) position() evacuation.Position { return evacuation.Position{Offset: c.Offset} }
+func (c Cursor) position() evacuation.Position {
+	return evacuation.Position{Era: c.Era, Offset: c.Offset}
+}
 
 // Update is what the operator has written since a position at the store.
 type Update struct {
@@ -69,14 +72,19 @@
 	// Next returns what was written after the cursor. If that is nothing, Next waits for it, for
 	// up to the given time.
 	Next(ctx context.Context, after Cursor, wait time.Duration) (Update, error)
+	// SeeEra records the highest era of the store that a peer has named, and returns the highest
+	// one that a peer or any response of the store has named; zero if the store has none.
+	// Responses of earlier eras are ignored.
+	SeeEra(era uint64) uint64
 	// Decode parses and validates a declaration.
 	Decode(raw []byte) (*catalog.Catalog, error)
 }
 
-// Directory stores the newest record for each key, durably.
+// Directory stores the newest record for each key. The store may come back from an older copy,
+// in a new era, and lose what it has acknowledged in earlier ones.
 type Directory interface {
-	Publish(ctx context.Context, key string, record []byte) error
-	List(ctx context.Context) ([][]byte, error)
+	Publish(ctx context.Context, key string, record []byte) (era uint64, err error)
+	List(ctx context.Context) (records [][]byte, era uint64, err error)
 }
 
 // Bounds holds the operator's time limits, retry budget and rate limit tolerance.
--- a/internal/sidecar/departure.go
+++ b/internal/sidecar/departure.go
@@ -67,24 +67,36 @@
 	n.mu.Lock()
 	d := n.tracker.Departure()
 	n.mu.Unlock()
-	record, err := json.Marshal(struct { // a storedRecord without the fields of a node
-		DepartureOf mesh.Host
-		Departure   roster.Departure
-	}{n.cfg.Self.Node.Host, d})
+	era, err := n.publishDeparture(n.cfg.Self.Node.Host, d)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := n.context(storeTimeout)
-	defer cancel()
-	if err := n.cfg.Directory.Publish(ctx, departureKeyPrefix+string(n.cfg.Self.Node.Host), record); err != nil {
-		return err
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if era < n.era {
+		return errors.Errorf("the departure was stored in era %d, and %d has begun", era, n.era)
+	}
 	n.setStoredDeparture(d)
 	return nil
 }
 
+// publishDeparture writes the departure of the upstream on a host to the store, and returns the
+// era in which the store acknowledged it.
+func (n *Node) publishDeparture(host mesh.Host, d roster.Departure) (era uint64, err error) {
+	record, err := json.Marshal(struct { // a storedRecord without the fields of a node
+		DepartureOf mesh.Host
+		Departure   roster.Departure
+	}{host, d})
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := n.context(storeTimeout)
+	defer cancel()
+	era, err = n.cfg.Directory.Publish(ctx, departureKeyPrefix+string(host), record)
+	n.observeStoreEra()
+	return era, err
+}
+
 // setStoredDeparture records that the store holds the departure. n.mu must be held.
 func (n *Node) setStoredDeparture(d roster.Departure) {
 	n.storedDeparture = d
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -132,7 +132,7 @@
 	registry                                                                       metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenResponses, retries metrics.Counter
 	storeFailures, rejectedDeclarations, evacuationRefusals                        metrics.Counter
-	declaration, evacuated                                                         metrics.Gauge
+	declaration, evacuated, storeEra                                               metrics.Gauge
 	latency, queueTime                                                             metrics.Histogram
 }
 
@@ -158,6 +158,7 @@
 		evacuationRefusals:   counter("evacuation.refused"),
 		declaration:          metrics.GetOrRegisterGauge("declaration.version", r),
 		evacuated:            metrics.GetOrRegisterGauge("evacuation.active", r),
+		storeEra:             metrics.GetOrRegisterGauge("store.era", r),
 		latency:              histogram("requests.latency_us"),
 		queueTime:            histogram("queue.wait_us"),
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -55,6 +55,7 @@
 			continue
 		}
 		update, err := n.readDeclaration(cursor, plan)
+		n.observeStoreEra()
 		if n.runCtx.Err() != nil {
 			return
 		}
@@ -88,7 +89,9 @@
 		answered := n.now()
 		n.storeAnswered.Store(int64(answered))
 		backoff.Reset()
-		n.advanceCursor(update)
+		if !n.advanceCursor(update) {
+			continue // a response of an earlier era
+		}
 		if update.Declaration != nil {
 			n.applyDeclaration(roster.Declaration{Raw: update.Declaration}, "store", "")
 		}
@@ -109,6 +112,9 @@
 		Substitute: n.roster.IsSubstitute(),
 	}
 	view.Doubt, view.DoubtAge = n.roster.Doubt(now)
+	if n.roster.Evacuations().ListingDue(now) {
+		return Cursor{}, view
+	}
 	return n.cursor, view
 }
 
@@ -147,11 +153,14 @@
 
 // advanceCursor records the position at the store up to which the declarations and evacuations
 // are known, and takes over the evacuations. The zero cursor makes the next read list the newest
-// declaration.
-func (n *Node) advanceCursor(update Update) {
+// declaration. It returns false and changes nothing if the store has begun a new era since.
+func (n *Node) advanceCursor(update Update) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, next := n.now(), update.Next
+	if next.Known && next.Era < n.roster.Evacuations().Era() {
+		return false
+	}
 	n.updateEvacuations(now, "store", "", func(s *evacuation.Set) {
 		switch {
 		case update.Listed:
@@ -160,10 +169,11 @@
 			s.Read(now, next.position(), update.Evacuations)
 		}
 	})
-	if next.Known && n.cursor.Known && next.Offset < n.cursor.Offset {
-		return // a peer has sent a later declaration during the read
+	if next.Known && n.cursor.Known && next.position().Compare(n.cursor.position()) < 0 {
+		return true // a peer has sent a later declaration during the read
 	}
 	n.cursor = next
+	return true
 }
 
 // mergeEvacuations takes over what a peer knows of evacuated data centres.
@@ -174,6 +184,7 @@
 	n.mu.Lock()
 	now := n.now()
 	n.updateEvacuations(now, "peer", from, func(s *evacuation.Set) { s.Merge(now, *d.Evacuations) })
+	n.noticeEra("peer")
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
 	n.send(out)
@@ -265,8 +276,9 @@
 	n.rawDeclaration = bytes.Clone(raw)
 	// Without the evacuations up to the offset, this node would never read them.
 	complete := d.Evacuations != nil && d.Evacuations.Known
-	if d.OffsetKnown && complete && (!n.cursor.Known || d.Offset > n.cursor.Offset) {
-		n.cursor = Cursor{Offset: d.Offset, Known: true}
+	next := Cursor{Era: d.Era, Offset: d.Offset, Known: true}
+	if d.OffsetKnown && complete && (!n.cursor.Known || next.position().Compare(n.cursor.position()) > 0) {
+		n.cursor = next
 	}
 	n.configureComponents(c)
 	n.roster.SetDeclarationVersion(n.now(), c.Version)
@@ -296,7 +308,7 @@
 	if !n.retryStoreCall(backoff, "publish", n.publishSelf) || !n.pause(listDelay) {
 		return
 	}
-	for n.retryStoreCall(backoff, "list nodes", n.listNodes) && n.waitUntilIsolated() {
+	for n.retryStoreCall(backoff, "list nodes", n.listNodes) && n.listWhileAlone(backoff) && n.waitUntilIsolated() {
 	}
 }
 
@@ -344,7 +356,16 @@
 	}
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
-	return n.cfg.Directory.Publish(ctx, string(self.Member.Node.Host), record)
+	era, err := n.cfg.Directory.Publish(ctx, string(self.Member.Node.Host), record)
+	n.observeStoreEra()
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.publishedEra, n.published = era, true
+	n.requestRestore()
+	return nil
 }
 
 // listNodes reads the records of all nodes from the store into the roster, and the departure
@@ -353,18 +374,20 @@
 func (n *Node) listNodes() error {
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
-	records, err := n.cfg.Directory.List(ctx)
+	records, era, err := n.cfg.Directory.List(ctx)
+	n.observeStoreEra()
 	if err != nil {
 		return err
 	}
 	n.mu.Lock()
+	listedNow := era >= n.era // else the store may have lost what it listed
 	for _, raw := range records {
 		record, err := decodeStoredRecord(raw)
 		switch {
 		case err != nil:
 			n.cfg.Log.Write(eventlog.Observation, "invalid node record skipped", "err", err, "bytes", len(raw))
 		case record.DepartureOf == n.cfg.Self.Node.Host:
-			if n.storedDeparture.IsZero() { // else this node has written a later one
+			if listedNow && n.storedDeparture.IsZero() { // else this node has written a later one
 				n.setStoredDeparture(record.Departure)
 			}
 			n.learnDeparture(record.Departure, "store")
@@ -372,10 +395,12 @@
 			n.roster.Merge(n.now(), record.Record)
 		}
 	}
-	n.tracker.RecordHistory()
+	if !n.listedIncomplete(era) {
+		n.tracker.RecordHistory()
+		n.roster.MarkSynced()
+		n.storeListed = true
+	}
 	n.publishPhase(n.now())
-	n.roster.MarkSynced()
-	n.storeListed = true
 	n.refreshTable(n.now())
 	nodes := n.roster.Len(n.now())
 	out := n.roster.Outgoing()
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -44,6 +44,9 @@
 	declaredAt  uint64                // position after the newest declaration
 	evacuations []evacuation.Entry    // all records about evacuations, oldest first
 	changed     chan struct{}         // closed when the operator has written
+	era         uint64                // zero: the store names none
+	seenEras    map[string]uint64     // highest era that each host has seen
+	writes      []time.Time           // of all published records
 	records     map[string][]byte     // published records, by key
 	unavailable map[string]bool       // hosts whose calls the store refuses; "" stands for all hosts
 	silent      map[string]bool       // hosts whose reads the store does not answer
@@ -53,7 +56,7 @@
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, end: 1, declaredAt: 1, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+	return &store{version: 1, declaration: d, end: 1, declaredAt: 1, changed: make(chan struct{}), records: map[string][]byte{}, seenEras: map[string]uint64{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
 }
 
 // loseOpenReads makes the store never respond to the reads that are open now.
@@ -88,17 +91,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.append()
-	s.evacuations = append(s.evacuations, evacuation.Entry{DataCentre: dataCentre, Evacuated: evacuated, At: evacuation.Position{Offset: s.end}})
+	s.evacuations = append(s.evacuations, evacuation.Entry{DataCentre: dataCentre, Evacuated: evacuated, At: evacuation.Position{Era: s.era, Offset: s.end}})
+}
+
+// rollback makes the store come back in a new era, from a copy that holds no record of a node or
+// departure, and lacks the newest of the operator's evacuations.
+func (s *store) rollback(lostEvacuations int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.records = map[string][]byte{}
+	s.evacuations = s.evacuations[:len(s.evacuations)-lostEvacuations]
+	s.end -= uint64(lostEvacuations)
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // update returns what was written after the cursor. s.mu must be held.
 func (s *store) update(after Cursor) Update {
-	u := Update{Listed: !after.Known, Next: Cursor{Offset: s.end, Known: true}}
+	if after.Known && after.Era < s.era {
+		return Update{} // the position is of another era
+	}
+	u := Update{Listed: !after.Known, Next: Cursor{Era: s.era, Offset: s.end, Known: true}}
 	if !after.Known || s.declaredAt > after.Offset {
 		u.Declaration = []byte(strconv.FormatUint(s.version, 10))
 	}
 	newest := map[mesh.DataCentre]evacuation.Entry{}
 	for _, e := range s.evacuations {
+		e.At.Era = s.era
 		newest[e.DataCentre] = e
 		if after.Known && e.At.Offset > after.Offset {
 			u.Evacuations = append(u.Evacuations, e)
@@ -154,7 +174,8 @@
 			<-ctx.Done()
 			return Update{}, ctx.Err()
 		}
-		if !after.Known || update.Next.Offset > after.Offset {
+		c.SeeEra(update.Next.Era)
+		if !after.Known || !update.Next.Known || update.Next.Offset > after.Offset {
 			return update, nil
 		}
 		select {
@@ -180,19 +201,28 @@
 	return catalog.New(c.declaration(version))
 }
 
-func (c storeClient) Publish(_ context.Context, key string, record []byte) error {
+func (c storeClient) SeeEra(era uint64) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seenEras[c.host] = max(c.seenEras[c.host], era)
+	return c.seenEras[c.host]
+}
+
+func (c storeClient) Publish(_ context.Context, key string, record []byte) (uint64, error) {
 	if err := c.checkAvailable(); err != nil {
-		return err
+		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.records[key] = record
-	return nil
+	c.writes = append(c.writes, time.Now())
+	c.seenEras[c.host] = max(c.seenEras[c.host], c.era)
+	return c.era, nil
 }
 
-func (c storeClient) List(context.Context) ([][]byte, error) {
+func (c storeClient) List(context.Context) ([][]byte, uint64, error) {
 	if err := c.checkAvailable(); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,7 +230,8 @@
 	for _, record := range c.records {
 		out = append(out, record)
 	}
-	return out, nil
+	c.seenEras[c.host] = max(c.seenEras[c.host], c.era)
+	return out, c.era, nil
 }
 
 // host is one node and its local upstream.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -57,6 +57,7 @@
 	controlClient *peer.Client    // sends control messages to peers
 	upstreamPool  *exchange.Pool  // connections to the local upstream
 	departures    chan struct{}   // receives a value when a departure is to be stored
+	eraRose       chan struct{}   // receives a value when the store may have lost the records of this node
 	doubts        chan struct{}   // receives a value when the data centre is in doubt whether the store answers its readers
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
 	openRequests  atomic.Int64    // requests in flight from callers and peers
@@ -102,6 +103,9 @@
 	storedDeparture roster.Departure // the newest one of the local upstream that the store holds
 	departureStored chan struct{}    // closed when storedDeparture changes
 	evacuated       bool             // this node's data centre is evacuated
+	era             uint64           // highest era of the store that has been acted on
+	publishedEra    uint64           // era in which the store acknowledged the record of this node
+	published       bool             // it has acknowledged one
 }
 
 // New creates a node. Call Start to serve requests.
@@ -132,6 +136,7 @@
 
 		nestedDurations: shutdown.NewDurations(),
 		departures:      make(chan struct{}, 1),
+		eraRose:         make(chan struct{}, 1),
 		doubts:          make(chan struct{}, 1),
 		departureStored: make(chan struct{}),
 	}
@@ -175,6 +180,7 @@
 	n.startLoop(n.followDeclaration)
 	n.startLoop(n.publishAndList)
 	n.startLoop(n.storeDepartures)
+	n.startLoop(n.restoreRecords)
 	n.startLoop(n.probe)
 	n.startLoop(n.trimPools)
 	n.cfg.Log.Write(eventlog.Lifecycle, "started", "incarnation", uint64(n.cfg.Self.Node.Incarnation),
@@ -294,13 +300,14 @@
 	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
 	n.wakeReader(n.now())
 	n.applyEvacuations(n.now(), "peer", string(e.From.Host))
+	n.noticeEra("peer")
 	n.learnDeparture(n.roster.EarlierDeparture(), "peer")
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
 	if sendDeclaration && n.rawDeclaration != nil {
 		state := n.roster.Evacuations().State()
 		out = append(out, mesh.Outgoing{To: to, Message: roster.Declaration{
-			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known, Evacuations: &state,
+			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known, Evacuations: &state, Era: n.cursor.Era,
 		}})
 	}
 	n.mu.Unlock()
