Check for an evacuation under the lock that a sent request takes anyway

The check between the slot and the upstream took the node's lock once more for each request, evacuated or not. runUpstream takes it already. The test of a request that has got its slot just before the evacuation is new.

--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -185,6 +185,10 @@
 	if len(decisions) != 1 || (<-decisions).Reason != outcome.Evacuated || !n.roster.Self().Evacuated {
 		t.Error("a queued request is not refused when the data centre is evacuated")
 	}
+	// Nor may one be sent that has got its slot just before.
+	if resp, refusal := n.runUpstream(t.Context(), 3, &servedRequest{}, time.Hour); resp != nil || refusal.Reason != outcome.Evacuated || refusal.Execution != outcome.NotRun {
+		t.Errorf("a request with a slot ends as %v, want a refusal for the evacuation", refusal)
+	}
 }
 
 // If all upstreams of a service are evacuated, requests must be refused as not run, and the line
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -56,13 +56,6 @@
 		return upstreamResult{refusal: refusal}
 	}
 	began := n.now()
-	n.mu.Lock()
-	refusal, evacuated := n.evacuationRefusal(began)
-	n.mu.Unlock()
-	if evacuated { // since the gate has let the request run
-		n.releaseSlot(began, false)
-		return upstreamResult{refusal: refusal}
-	}
 	n.metrics.queueTime.Update((began - arrived).Microseconds())
 	response, refusal := n.runUpstream(ctx, id, req, deadline)
 	if response == nil {
@@ -190,6 +183,10 @@
 	now := n.now()
 	remaining := max((deadline - now).Milliseconds(), 1)
 	n.mu.Lock()
+	if refusal, ok := n.evacuationRefusal(now); ok { // since the gate has let the request run
+		n.mu.Unlock()
+		return nil, refusal
+	}
 	sentTo := n.tracker.Current()
 	n.recordStart(now, id, req, now+time.Duration(remaining)*time.Millisecond)
 	n.mu.Unlock()
