--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -138,8 +138,9 @@
 type nodeMetrics struct {
 	registry                                                                       metrics.Registry
 	upstreamConnections, upstreamFailures, upstreamSheds, brokenResponses, retries metrics.Counter
-	storeFailures, rejectedDeclarations, coldPeriods, coldChecks                   metrics.Counter
-	declaration                                                                    metrics.Gauge
+	storeFailures, rejectedDeclarations, evacuationRefusals                        metrics.Counter
+	coldPeriods, coldChecks                                                        metrics.Counter
+	declaration, evacuated, storeEra                                               metrics.Gauge
 	latency, queueTime                                                             metrics.Histogram
 }
 
@@ -164,7 +165,10 @@
 		coldChecks:           counter("upstream.cold.checks"),
 		coldPeriods:          counter("upstream.cold.periods"),
 		rejectedDeclarations: counter("declarations.refused"),
+		evacuationRefusals:   counter("evacuation.refused"),
 		declaration:          metrics.GetOrRegisterGauge("declaration.version", r),
+		evacuated:            metrics.GetOrRegisterGauge("evacuation.active", r),
+		storeEra:             metrics.GetOrRegisterGauge("store.era", r),
 		latency:              histogram("requests.latency_us"),
 		queueTime:            histogram("queue.wait_us"),
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/ratelimit"
@@ -57,7 +58,8 @@
 			continue
 		}
 		began := n.now()
-		raw, next, err := n.readDeclaration(cursor, plan)
+		update, err := n.readDeclaration(cursor, plan)
+		n.observeStoreEra()
 		if n.runCtx.Err() != nil {
 			return
 		}
@@ -100,12 +102,14 @@
 		answered := n.now()
 		n.storeAnswered.Store(int64(answered))
 		backoff.Reset()
-		n.advanceCursor(next)
-		if raw != nil {
-			n.applyDeclaration(roster.Declaration{Raw: raw}, "store", "")
+		if !n.advanceCursor(update) {
+			continue // a response of an earlier era
+		}
+		if update.Declaration != nil {
+			n.applyDeclaration(roster.Declaration{Raw: update.Declaration}, "store", "")
 		}
 		n.reportAnsweredRead(answered)
-		if raw != nil && !n.pause(minReadInterval) {
+		if (update.Declaration != nil || len(update.Evacuations) > 0) && !n.pause(minReadInterval) {
 			return
 		}
 	}
@@ -121,6 +125,9 @@
 		Substitute: n.roster.IsSubstitute(),
 	}
 	view.Doubt, view.DoubtAge = n.roster.Doubt(now)
+	if n.roster.Evacuations().ListingDue(now) {
+		return Cursor{}, view
+	}
 	return n.cursor, view
 }
 
@@ -157,15 +164,43 @@
 	}
 }
 
-// advanceCursor records the position at the store up to which the declarations are known. The
-// zero cursor makes the next read list the newest declaration.
-func (n *Node) advanceCursor(next Cursor) {
+// advanceCursor records the position at the store up to which the declarations and evacuations
+// are known, and takes over the evacuations. The zero cursor makes the next read list the newest
+// declaration. It returns false and changes nothing if the store has begun a new era since.
+func (n *Node) advanceCursor(update Update) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if next.Known && n.cursor.Known && next.Offset < n.cursor.Offset {
-		return // a peer has sent a later declaration during the read
+	now, next := n.now(), update.Next
+	if next.Known && next.Era < n.roster.Evacuations().Era() {
+		return false
+	}
+	n.updateEvacuations(now, "store", "", func(s *evacuation.Set) {
+		switch {
+		case update.Listed:
+			s.Listed(now, next.position(), update.Evacuations)
+		case next.Known:
+			s.Read(now, next.position(), update.Evacuations)
+		}
+	})
+	if next.Known && n.cursor.Known && next.position().Compare(n.cursor.position()) < 0 {
+		return true // a peer has sent a later declaration during the read
 	}
 	n.cursor = next
+	return true
+}
+
+// mergeEvacuations takes over what a peer knows of evacuated data centres.
+func (n *Node) mergeEvacuations(d roster.Declaration, from string) {
+	if d.Evacuations == nil {
+		return
+	}
+	n.mu.Lock()
+	now := n.now()
+	n.updateEvacuations(now, "peer", from, func(s *evacuation.Set) { s.Merge(now, *d.Evacuations) })
+	n.noticeEra("peer")
+	out := n.roster.Outgoing()
+	n.mu.Unlock()
+	n.send(out)
 }
 
 // reportAnsweredRead tells the peers of a read that the store answered. It held no newer
@@ -195,19 +230,19 @@
 
 // readDeclaration makes one read of the declaration. The error is or wraps
 // context.DeadlineExceeded if the store did not answer in time.
-func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) ([]byte, Cursor, error) {
+func (n *Node) readDeclaration(cursor Cursor, plan watch.Read) (Update, error) {
 	n.readBegan.Store(int64(n.now()))
 	ctx, cancel := n.context(plan.Limit())
 	defer cancel()
-	raw, next, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
+	update, err := n.cfg.Source.Next(ctx, cursor, plan.Wait)
 	if err == nil {
-		return raw, next, nil
+		return update, nil
 	}
 	n.metrics.storeFailures.Inc(1)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		err = errors.Wrapf(context.DeadlineExceeded, "read of the declaration: %v", err)
 	}
-	return nil, cursor, err
+	return Update{}, err
 }
 
 // logReading logs that the node begins or ceases to read the declaration.
@@ -252,8 +287,11 @@
 	}
 	n.current.Store(c)
 	n.rawDeclaration = bytes.Clone(raw)
-	if d.OffsetKnown && (!n.cursor.Known || d.Offset > n.cursor.Offset) {
-		n.cursor = Cursor{Offset: d.Offset, Known: true}
+	// Without the evacuations up to the offset, this node would never read them.
+	complete := d.Evacuations != nil && d.Evacuations.Known
+	next := Cursor{Era: d.Era, Offset: d.Offset, Known: true}
+	if d.OffsetKnown && complete && (!n.cursor.Known || next.position().Compare(n.cursor.position()) > 0) {
+		n.cursor = next
 	}
 	n.configureComponents(c)
 	n.roster.SetDeclarationVersion(n.now(), c.Version)
@@ -283,7 +321,7 @@
 	if !n.retryStoreCall(backoff, "publish", n.publishSelf) || !n.pause(listDelay) {
 		return
 	}
-	for n.retryStoreCall(backoff, "list nodes", n.listNodes) && n.waitUntilIsolated() {
+	for n.retryStoreCall(backoff, "list nodes", n.listNodes) && n.listWhileAlone(backoff) && n.waitUntilIsolated() {
 	}
 }
 
@@ -331,7 +369,16 @@
 	}
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
-	return n.cfg.Directory.Publish(ctx, string(self.Member.Node.Host), record)
+	era, err := n.cfg.Directory.Publish(ctx, string(self.Member.Node.Host), record)
+	n.observeStoreEra()
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.publishedEra, n.published = era, true
+	n.requestRestore()
+	return nil
 }
 
 // listNodes reads the records of all nodes from the store into the roster, and the departure
@@ -340,18 +387,20 @@
 func (n *Node) listNodes() error {
 	ctx, cancel := n.context(storeTimeout)
 	defer cancel()
-	records, err := n.cfg.Directory.List(ctx)
+	records, era, err := n.cfg.Directory.List(ctx)
+	n.observeStoreEra()
 	if err != nil {
 		return err
 	}
 	n.mu.Lock()
+	listedNow := era >= n.era // else the store may have lost what it listed
 	for _, raw := range records {
 		record, err := decodeStoredRecord(raw)
 		switch {
 		case err != nil:
 			n.cfg.Log.Write(eventlog.Observation, "invalid node record skipped", "err", err, "bytes", len(raw))
 		case record.DepartureOf == n.cfg.Self.Node.Host:
-			if n.storedDeparture.IsZero() { // else this node has written a later one
+			if listedNow && n.storedDeparture.IsZero() { // else this node has written a later one
 				n.setStoredDeparture(record.Departure)
 			}
 			n.learnDeparture(record.Departure, "store")
@@ -359,10 +408,12 @@
 			n.roster.Merge(n.now(), record.Record)
 		}
 	}
-	n.tracker.RecordHistory()
+	if !n.listedIncomplete(era) {
+		n.tracker.RecordHistory()
+		n.roster.MarkSynced()
+		n.storeListed = true
+	}
 	n.publishPhase(n.now())
-	n.roster.MarkSynced()
-	n.storeListed = true
 	n.refreshTable(n.now())
 	nodes := n.roster.Len(n.now())
 	out := n.roster.Outgoing()
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/catalog"
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
@@ -47,7 +48,13 @@
 	mu          sync.Mutex
 	version     uint64
 	declaration func(version uint64) catalog.Declaration
-	changed     chan struct{}         // closed when a new version is stored
+	end         uint64                // number of records of the operator
+	declaredAt  uint64                // position after the newest declaration
+	evacuations []evacuation.Entry    // all records about evacuations, oldest first
+	changed     chan struct{}         // closed when the operator has written
+	era         uint64                // zero: the store names none
+	seenEras    map[string]uint64     // highest era that each host has seen
+	writes      []time.Time           // of all published records
 	records     map[string][]byte     // published records, by key
 	unavailable map[string]bool       // hosts whose calls the store refuses; "" stands for all hosts
 	silent      map[string]bool       // hosts whose reads the store does not answer
@@ -58,7 +65,7 @@
 }
 
 func newStore(d func(uint64) catalog.Declaration) *store {
-	return &store{version: 1, declaration: d, changed: make(chan struct{}), records: map[string][]byte{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
+	return &store{version: 1, declaration: d, end: 1, declaredAt: 1, changed: make(chan struct{}), records: map[string][]byte{}, seenEras: map[string]uint64{}, unavailable: map[string]bool{}, silent: map[string]bool{}, reads: map[string]int{}, openReads: map[int]chan struct{}{}}
 }
 
 // loseOpenReads makes the store never respond to the reads that are open now.
@@ -77,10 +84,63 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.declaration = d
+	s.append()
+	s.declaredAt = s.end
+}
+
+// append counts a record of the operator. s.mu must be held.
+func (s *store) append() {
+	s.end++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// evacuate stores that a data centre is evacuated, or that it is taken back.
+func (s *store) evacuate(dataCentre mesh.DataCentre, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append()
+	s.evacuations = append(s.evacuations, evacuation.Entry{DataCentre: dataCentre, Evacuated: evacuated, At: evacuation.Position{Era: s.era, Offset: s.end}})
+}
+
+// rollback makes the store come back in a new era, from a copy that holds no record of a node or
+// departure, and lacks the newest of the operator's evacuations.
+func (s *store) rollback(lostEvacuations int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.records = map[string][]byte{}
+	s.evacuations = s.evacuations[:len(s.evacuations)-lostEvacuations]
+	s.end -= uint64(lostEvacuations)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// update returns what was written after the cursor. s.mu must be held.
+func (s *store) update(after Cursor) Update {
+	if after.Known && after.Era < s.era {
+		return Update{} // the position is of another era
+	}
+	u := Update{Listed: !after.Known, Next: Cursor{Era: s.era, Offset: s.end, Known: true}}
+	if !after.Known || s.declaredAt > after.Offset {
+		u.Declaration = []byte(strconv.FormatUint(s.version, 10))
+	}
+	newest := map[mesh.DataCentre]evacuation.Entry{}
+	for _, e := range s.evacuations {
+		e.At.Era = s.era
+		newest[e.DataCentre] = e
+		if after.Known && e.At.Offset > after.Offset {
+			u.Evacuations = append(u.Evacuations, e)
+		}
+	}
+	for _, e := range newest {
+		if u.Listed && e.Evacuated {
+			u.Evacuations = append(u.Evacuations, e)
+		}
+	}
+	return u
+}
+
 // storeClient gives the node on one host access to the store, as its Source and its
 // Directory. The encoded form of a declaration is its version number in decimal.
 type storeClient struct {
@@ -99,7 +159,7 @@
 	return nil
 }
 
-func (c storeClient) Next(ctx context.Context, after Cursor, wait time.Duration) ([]byte, Cursor, error) {
+func (c storeClient) Next(ctx context.Context, after Cursor, wait time.Duration) (Update, error) {
 	lost := make(chan struct{})
 	c.mu.Lock()
 	c.reads[c.host]++
@@ -114,27 +174,28 @@
 	}()
 	for {
 		if err := c.checkAvailable(); err != nil {
-			return nil, after, err
+			return Update{}, err
 		}
 		c.mu.Lock()
-		version, changed, silent := c.version, c.changed, c.silent[c.host]
+		update, changed, silent := c.update(after), c.changed, c.silent[c.host]
 		c.mu.Unlock()
 		if silent {
 			<-ctx.Done()
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		}
-		if !after.Known || version > after.Offset {
-			return []byte(strconv.FormatUint(version, 10)), Cursor{Offset: version, Known: true}, nil
+		c.SeeEra(update.Next.Era)
+		if !after.Known || !update.Next.Known || update.Next.Offset > after.Offset {
+			return update, nil
 		}
 		select {
 		case <-changed:
 		case <-lost:
 			<-ctx.Done()
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-ctx.Done():
-			return nil, after, ctx.Err()
+			return Update{}, ctx.Err()
 		case <-time.After(wait):
-			return nil, after, nil
+			return Update{Next: after}, nil
 		}
 	}
 }
@@ -149,25 +210,34 @@
 	return catalog.New(c.declaration(version))
 }
 
-func (c storeClient) Publish(ctx context.Context, key string, record []byte) error {
+func (c storeClient) SeeEra(era uint64) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seenEras[c.host] = max(c.seenEras[c.host], era)
+	return c.seenEras[c.host]
+}
+
+func (c storeClient) Publish(ctx context.Context, key string, record []byte) (uint64, error) {
 	if err := c.checkAvailable(); err != nil {
-		return err
+		return 0, err
 	}
 	c.mu.Lock()
 	if c.lostWrites > 0 {
 		c.lostWrites--
 		c.mu.Unlock()
 		<-ctx.Done()
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	defer c.mu.Unlock()
 	c.records[key] = record
-	return nil
+	c.writes = append(c.writes, time.Now())
+	c.seenEras[c.host] = max(c.seenEras[c.host], c.era)
+	return c.era, nil
 }
 
-func (c storeClient) List(context.Context) ([][]byte, error) {
+func (c storeClient) List(context.Context) ([][]byte, uint64, error) {
 	if err := c.checkAvailable(); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -175,7 +245,8 @@
 	for _, record := range c.records {
 		out = append(out, record)
 	}
-	return out, nil
+	c.seenEras[c.host] = max(c.seenEras[c.host], c.era)
+	return out, c.era, nil
 }
 
 // host is one node and its local upstream.
@@ -185,6 +256,7 @@
 	upstreamAddress string
 	instance        string
 	service         mesh.Service
+	dataCentre      mesh.DataCentre
 	slots           int
 	log             *logBuffer
 	peers           *silence.Listener
@@ -289,7 +361,13 @@
 // startHost starts an upstream and the node next to it.
 func startHost(t testing.TB, s *store, name string, service mesh.Service, slots int) *host {
 	t.Helper()
-	h := &host{instance: "i-" + name, service: service, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
+	return startHostIn(t, s, "dc", name, service, slots)
+}
+
+// startHostIn does the same in the given data centre.
+func startHostIn(t testing.TB, s *store, dataCentre mesh.DataCentre, name string, service mesh.Service, slots int) *host {
+	t.Helper()
+	h := &host{instance: "i-" + name, service: service, dataCentre: dataCentre, slots: slots, runs: map[string]int{}, log: &logBuffer{}}
 	upstreamListener := listen(t)
 	server := &http.Server{Handler: h}
 	go server.Serve(upstreamListener)
@@ -309,7 +387,7 @@
 	h.node = New(Config{
 		Self: mesh.Member{
 			Node:       mesh.NodeID{Host: mesh.Host(name), Incarnation: mesh.Incarnation(time.Now().UnixNano())},
-			DataCentre: "dc", Service: h.service, PeerAddress: peers.Addr().String(),
+			DataCentre: h.dataCentre, Service: h.service, PeerAddress: peers.Addr().String(),
 		},
 		Claim: uint64(time.Now().UnixMilli()), // orders the incarnations on this host
 		Seed:  7, UpstreamAddress: h.upstreamAddress,
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"cardamomhatch/internal/evacuation"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/pressure"
@@ -112,6 +113,10 @@
 	// is only if that cut differs from Cut and the entry node reads it.
 	Origin    pressure.OriginCut
 	HasOrigin bool
+	// Evacuated states that the data centre of the node is evacuated, by the record at
+	// EvacuatedAt.
+	Evacuated   bool
+	EvacuatedAt evacuation.Position
 }
 
 // encode returns the value of loadHeader.
@@ -123,7 +128,7 @@
 	if r.Load.UsualLatency > 0 {
 		value += fmt.Sprintf(",%s=%d,%s=%.2f", usualLatencyKey, r.Load.UsualLatency.Microseconds(), slownessKey, r.Load.Slowness)
 	}
-	return value
+	return value + encodeEvacuated(r.Evacuated, r.EvacuatedAt)
 }
 
 // parseReport parses the report in the header of a response. It returns false if the
@@ -151,6 +156,7 @@
 		key, value, _ := strings.Cut(field, "=")
 		r.setCapacity(key, value)
 	}
+	r.Evacuated, r.EvacuatedAt = parseEvacuated(fields[reportFields:])
 	return r, true
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -59,6 +59,7 @@
 	upstreamPool  *exchange.Pool  // connections to the local upstream
 	departures    chan struct{}   // receives a value when a departure is to be stored
 	coldChecks    chan struct{}   // receives a value when the health path is to be asked whether the upstream is cold
+	eraRose       chan struct{}   // receives a value when the store may have lost the records of this node
 	doubts        chan struct{}   // receives a value when the data centre is in doubt whether the store answers its readers
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
 	openRequests  atomic.Int64    // requests in flight from callers and peers
@@ -111,6 +112,10 @@
 	departureStored chan struct{}    // closed when storedDeparture changes
 	coldSince       time.Duration    // when the local upstream became, or was suspected to be, cold
 	otherUpstreams  *upstream.Others // of the service
+	evacuated       bool             // this node's data centre is evacuated
+	era             uint64           // highest era of the store that has been acted on
+	publishedEra    uint64           // era in which the store acknowledged the record of this node
+	published       bool             // it has acknowledged one
 }
 
 // New creates a node. Call Start to serve requests.
@@ -145,6 +150,7 @@
 		departures:      make(chan struct{}, 1),
 		otherUpstreams:  upstream.NewOthers(cfg.Bounds.Heartbeat),
 		coldChecks:      make(chan struct{}, 1),
+		eraRose:         make(chan struct{}, 1),
 		doubts:          make(chan struct{}, 1),
 		departureStored: make(chan struct{}),
 	}
@@ -188,6 +194,7 @@
 	n.startLoop(n.followDeclaration)
 	n.startLoop(n.publishAndList)
 	n.startLoop(n.storeDepartures)
+	n.startLoop(n.restoreRecords)
 	n.startLoop(n.probe)
 	n.startLoop(n.checkCold)
 	n.startLoop(n.trimPools)
@@ -289,6 +296,7 @@
 // handleMessage processes one control message from a peer.
 func (n *Node) handleMessage(e mesh.Envelope) {
 	if d, ok := e.Message.(roster.Declaration); ok {
+		n.mergeEvacuations(d, string(e.From.Host))
 		n.applyDeclaration(d, "peer", string(e.From.Host))
 		return
 	}
@@ -304,12 +312,15 @@
 	}
 	to, sendDeclaration := n.roster.Deliver(n.now(), e.From, e.Message)
 	n.wakeReader(n.now())
+	n.applyEvacuations(n.now(), "peer", string(e.From.Host))
+	n.noticeEra("peer")
 	n.learnDeparture(n.roster.EarlierDeparture(), "peer")
 	out := n.roster.Outgoing()
 	n.refreshTable(n.now())
 	if sendDeclaration && n.rawDeclaration != nil {
+		state := n.roster.Evacuations().State()
 		out = append(out, mesh.Outgoing{To: to, Message: roster.Declaration{
-			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known,
+			Version: n.current.Load().Version, Raw: n.rawDeclaration, Offset: n.cursor.Offset, OffsetKnown: n.cursor.Known, Evacuations: &state, Era: n.cursor.Era,
 		}})
 	}
 	n.mu.Unlock()
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -123,6 +123,10 @@
 // time in which each of the entry nodes gets one request. n.mu must be held.
 func (n *Node) slotRefusal(reason outcome.Reason) outcome.Refusal {
 	refusal := n.refusal(outcome.NotRun, reason, "")
+	if reason == outcome.Evacuated {
+		n.metrics.evacuationRefusals.Inc(1)
+		refusal.Detail = evacuatedDetail(n.roster.Evacuations())
+	}
 	if limit := n.gate.RateLimit(); reason == outcome.UpstreamLimited && limit > 0 {
 		contenders := float64(min(n.roster.Len(n.now()), maxContenders))
 		refusal.RetryAfter = min(time.Duration(contenders/limit*float64(time.Second)), maxPause)
@@ -138,9 +142,12 @@
 // acceptsRequest reports whether the request may be sent to the local upstream. n.mu
 // must be held.
 func (n *Node) acceptsRequest(req *servedRequest, now time.Duration) (outcome.Refusal, bool) {
+	refusal, evacuated := n.evacuationRefusal(now)
 	switch {
 	case req.Target.Host != n.cfg.Self.Node.Host || req.Service != n.cfg.Self.Service:
 		return n.refusal(outcome.NotRun, outcome.NoUpstream, "the request is for another node"), false
+	case evacuated:
+		return refusal, false
 	case n.tracker.Accepts(now):
 		return outcome.Refusal{}, true
 	case n.tracker.Phase(now) == roster.Leaving:
@@ -181,6 +188,10 @@
 	now := n.now()
 	remaining := max((deadline - now).Milliseconds(), 1)
 	n.mu.Lock()
+	if refusal, ok := n.evacuationRefusal(now); ok { // since the gate has let the request run
+		n.mu.Unlock()
+		return nil, refusal
+	}
 	sentTo := n.tracker.Current()
 	n.recordStart(now, id, req, now+time.Duration(remaining)*time.Millisecond)
 	start := n.capacityAtStart(now)
@@ -364,6 +375,8 @@
 			UsualLatency: n.learner.RouteLatency(now, h.Route), Slowness: n.learner.Slowness(now),
 		},
 		Phase: n.tracker.Phase(now),
+
+		Evacuated: n.evacuated, EvacuatedAt: n.roster.Evacuations().At(n.cfg.Self.DataCentre),
 	}
 	r.Origin, r.HasOrigin = n.reportedOrigin(now, h, r.Cut)
 	return r
@@ -425,6 +438,9 @@
 // writePeerRefusal sends a refusal and the state of this node to a peer.
 func (n *Node) writePeerRefusal(w http.ResponseWriter, h *hop, r outcome.Refusal) {
 	w.Header()[loadHeader] = []string{n.peerReport(h).encode()}
+	if r.Reason == outcome.Evacuated {
+		r.Reason = outcome.NoUpstream // nodes of earlier versions know it, and others see the report
+	}
 	if err := r.Write(w); err != nil {
 		n.metrics.brokenResponses.Inc(1)
 	}
