--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,3 +69,30 @@
 		}
 	})
 }
+
+// Guards against limits that are ignored or accepted although they make no sense, and against
+// settings without the section being refused.
+func TestSidecarLimits(t *testing.T) {
+	const base = "[node]\nhost = h\ndata_centre = d\nservice = s\nupstream = 127.0.0.1:1\n[listen]\ncallers = 127.0.0.1:2\npeers = 127.0.0.1:3\nannouncements = 127.0.0.1:4\nready = 127.0.0.1:5\nmetrics = 127.0.0.1:6\n[store]\naddress = 127.0.0.1:7\n[terms]\n"
+	for _, c := range []struct {
+		section string
+		want    Limits
+		err     string
+	}{
+		{"", Limits{}, ""},
+		{"[limits]\n", Limits{}, ""},
+		{"[limits]\nmemory_mb = 184\nmax_descriptors = 4100\n", Limits{184, 4100}, ""},
+		{"[limits]\nmemory_mb = -1\n", Limits{}, "memory_mb: value is below zero"},
+		{"[limits]\nmax_fds = 1\n", Limits{}, "max_fds: unknown key"},
+	} {
+		s, err := ParseSidecar("n.ini", []byte(base+c.section))
+		switch {
+		case c.err != "":
+			if err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("%q: error %v, want %q", c.section, err, c.err)
+			}
+		case err != nil || s.Limits != c.want:
+			t.Errorf("%q: limits %+v, error %v; want %+v", c.section, s.Limits, err, c.want)
+		}
+	}
+}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -25,7 +25,15 @@
 
 	Store netip.AddrPort // address of the platform's store, which holds the declaration
 
-	Terms Terms
+	Terms  Terms
+	Limits Limits
+}
+
+// Limits holds what the host has for this process and for what others send to it. Zero means
+// that the settings do not say.
+type Limits struct {
+	MemoryMB       int // memory of the host
+	MaxDescriptors int // file descriptors of the host
 }
 
 // Terms holds the operating parameters that the operator may set. Those that are
@@ -81,6 +89,9 @@
 		s.Store = p.parseAddress(sec, "address", sec.Text("address"), false)
 	})
 	p.readSection("terms", func(sec *inifile.Section) { s.Terms = readTerms(sec) })
+	if p.sections["limits"] != nil { // the section is optional
+		p.readSection("limits", func(sec *inifile.Section) { s.Limits = readLimits(sec) })
+	}
 	return s
 }
 
@@ -120,3 +131,14 @@
 	}
 	return t
 }
+
+func readLimits(sec *inifile.Section) Limits {
+	l := Limits{MemoryMB: sec.IntOr("memory_mb", 0), MaxDescriptors: sec.IntOr("max_descriptors", 0)}
+	if l.MemoryMB < 0 {
+		sec.AddProblem("memory_mb", "value is below zero")
+	}
+	if l.MaxDescriptors < 0 {
+		sec.AddProblem("max_descriptors", "value is below zero")
+	}
+	return l
+}
