Bound what clients hold of memory and connections

Cause: net/http keeps each header line of a head as a map entry, a slice and strings, holds unended heads for ten seconds and stopped bodies without end, and nothing bounded the number of connections. Slots of the upstream were held while callers read their answers.

Change: internal/intake (core) charges connections, heads (bytes and lines), running requests, bodies and answers to their client and listener and decides who gives way; internal/sidecar wraps the listeners of serve and counts before net/http reads. Bodies are buffered as they arrive and must arrive while the caller waits; buffered answers hold no slot while they are sent; long ones are cut off when no more could be read. Texts of other processes are cut to 200 bytes in log lines.

--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cardamomhatch/internal/eventlog"
+	"cardamomhatch/internal/intake"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
@@ -29,8 +32,11 @@
 const (
 	// stopFraction is the fraction of the time until SIGKILL that requests in
 	// progress may use. The rest is for closing connections and listeners.
-	stopFraction    = 0.85
-	logFlushTimeout = 100 * time.Millisecond // time to write the last lines of the log
+	stopFraction = 0.85
+	// nonRuntimeMemory is what the Go runtime does not count as its memory, in bytes: mostly
+	// the pages of the binary that are in use.
+	nonRuntimeMemory = 16 << 20
+	logFlushTimeout  = 100 * time.Millisecond // time to write the last lines of the log
 )
 
 // Run runs one sidecar node until SIGINT or SIGTERM, then shuts it down
@@ -47,6 +53,10 @@
 		log.Write(eventlog.Lifecycle, "start failed", "err", err)
 		return err
 	}
+	if nodeSettings.Limits.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		// A second line of defence: near the limit, the garbage collector runs more often.
+		debug.SetMemoryLimit(intake.NewPlan(hostLimits(nodeSettings.Limits)).ProcessMemory - nonRuntimeMemory)
+	}
 	node.Start()
 	c.reloadOnSIGHUP(ctx, nodeSettings, log)
 	<-ctx.Done()
@@ -113,6 +123,7 @@
 			Retry: retry.BudgetConfig{Ratio: nodeSettings.Terms.RetryRatio, Allowance: nodeSettings.Terms.RetryAllowance, Window: nodeSettings.Terms.RetryWindow},
 			Quota: ratelimit.Tolerance{Window: nodeSettings.Terms.QuotaWindow, Overage: nodeSettings.Terms.QuotaOverage, Slack: nodeSettings.Terms.QuotaSlack},
 		},
+		HostLimits:    hostLimits(nodeSettings.Limits),
 		Log:           log,
 		Metrics:       registry,
 		Announcements: platform.AnnounceHandler,
@@ -120,6 +131,17 @@
 	}), nil
 }
 
+// hostLimits returns what the settings say of the host. If the process may open fewer
+// descriptors, that applies.
+func hostLimits(l settings.Limits) intake.Host {
+	h := intake.Host{Memory: int64(l.MemoryMB) << 20, Descriptors: cmp.Or(l.MaxDescriptors, intake.DefaultDescriptors)}
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err == nil && own.Cur < uint64(h.Descriptors) {
+		h.Descriptors = int(own.Cur)
+	}
+	return h
+}
+
 func listenSidecar(nodeSettings settings.Sidecar) (l sidecar.Listeners, err error) {
 	err = openListeners([]listenerSpec{
 		{"callers", nodeSettings.Callers, &l.Callers},
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -55,6 +55,7 @@
 
 // Limits holds the limits that apply to every caller.
 type Limits struct {
+	MaxHeader   int           // bytes of the head of a request; zero: no limit
 	MaxBody     int64         // bytes of a request body; zero: no limit
 	IdleTimeout time.Duration // of a caller's connection; nodes do not enforce it
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,6 +82,8 @@
 		{"", Limits{}, ""},
 		{"[limits]\n", Limits{}, ""},
 		{"[limits]\nmemory_mb = 184\nmax_descriptors = 4100\n", Limits{184, 4100}, ""},
+		{"[limits]\nmemory_mb = 184.0\n", Limits{MemoryMB: 184}, ""},
+		{"[limits]\nmax_descriptors = 1e300\n", Limits{}, "max_descriptors: value is too large"},
 		{"[limits]\nmemory_mb = -1\n", Limits{}, "memory_mb: value is below zero"},
 		{"[limits]\nmax_fds = 1\n", Limits{}, "max_fds: unknown key"},
 	} {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -133,12 +133,18 @@
 }
 
 func readLimits(sec *inifile.Section) Limits {
-	l := Limits{MemoryMB: sec.IntOr("memory_mb", 0), MaxDescriptors: sec.IntOr("max_descriptors", 0)}
-	if l.MemoryMB < 0 {
-		sec.AddProblem("memory_mb", "value is below zero")
-	}
-	if l.MaxDescriptors < 0 {
-		sec.AddProblem("max_descriptors", "value is below zero")
+	const most = 1 << 30
+	read := func(key string) int {
+		v := sec.FloatOr(key, 0) // a platform may render whole numbers with a fraction
+		switch {
+		case v < 0:
+			sec.AddProblem(key, "value is below zero")
+			return 0
+		case v > most:
+			sec.AddProblem(key, "value is too large")
+			return 0
+		}
+		return int(v)
 	}
-	return l
+	return Limits{MemoryMB: read("memory_mb"), MaxDescriptors: read("max_descriptors")}
 }
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -209,14 +209,19 @@
 // caller's connection.
 func (c *call) relayResponse(a *attempt) (refusal outcome.Refusal, done bool) {
 	n := c.node
-	complete := false
-	defer func() {
+	complete, ended := false, false
+	end := func() {
+		if ended {
+			return
+		}
+		ended = true
 		a.response.Close()
 		if a.release != nil {
 			a.release(complete)
 		}
-	}()
-	body, buffered, err := bufferResponse(a.response)
+	}
+	defer end()
+	body, buffered, err := bufferResponse(a.response, c.conn)
 	if err != nil {
 		n.metrics.brokenResponses.Inc(1)
 		reason := outcome.AnswerCut
@@ -226,6 +231,13 @@
 		return n.refusal(outcome.MayHaveRun, reason, err.Error()), false
 	}
 	copyHeader(c.w.Header(), endToEndHeaders(a.response.Header))
+	if buffered {
+		// A caller that reads slowly must not hold a slot of the upstream.
+		complete = true
+		end()
+	} else {
+		c.limitAnswerTime()
+	}
 	switch {
 	case buffered && (c.r.Method != http.MethodHead):
 		c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -14,6 +14,7 @@
 
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
+	"cardamomhatch/internal/intake"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/ratelimit"
 	"cardamomhatch/internal/retry"
@@ -88,6 +89,7 @@
 	Source          Source
 	Directory       Directory
 	Bounds          Bounds
+	HostLimits      intake.Host // what the host has; zero values stand for the smallest host
 	Log             *eventlog.Log
 	Metrics         metrics.Registry
 	// Announcements returns the handler for announcements of the upstream.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -70,6 +70,8 @@
 	expires       time.Duration // when the caller stops waiting
 	body          []byte        // buffered part of the request body
 	stream        bool          // the body is not buffered completely, so only one attempt is possible
+	bodyComplete  bool          // the body was read to its end
+	conn          *clientConn   // nil in tests without a listener
 	tokenTaken    bool          // a token of the workspace was taken; it is refunded if the request does not run
 	attempts      int           // attempts that may have reached an upstream
 	triedNodes    []mesh.NodeID
@@ -80,7 +82,7 @@
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	c := &call{node: n, w: w, r: r, id: r.Header.Get(n.cfg.Dialect.RequestID), arrived: n.now(), catalog: n.current.Load()}
+	c := &call{node: n, w: w, r: r, id: r.Header.Get(n.cfg.Dialect.RequestID), arrived: n.now(), catalog: n.current.Load(), conn: clientConnOf(r)}
 	if n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
@@ -106,6 +108,7 @@
 		return n.refusal(outcome.NotRun, outcome.NoRoute, ""), false
 	}
 	c.setDeadline()
+	c.limitBodyTime()
 	if refusal, ok := c.identify(); !ok {
 		return refusal, false
 	}
@@ -211,9 +214,16 @@
 // allowed.
 func (c *call) run() {
 	if err := c.readBody(); err != nil {
-		c.refuse(c.node.refusal(outcome.NotRun, outcome.CallerGone, err.Error()))
+		reason := outcome.CallerGone
+		if errors.Is(err, errNoMemoryForBody) {
+			reason = outcome.Overloaded
+		}
+		c.refuse(c.node.refusal(outcome.NotRun, reason, err.Error()))
 		return
 	}
+	if c.r.ContentLength != 0 {
+		c.conn.bodyRead()
+	}
 	if p, ok := c.node.stopProgress(); ok && !shutdown.Forwards(p, c.stopRequest()) {
 		c.refuse(c.node.stopRefusal(p))
 		return
@@ -245,30 +255,6 @@
 	}
 }
 
-// readBody buffers the request body in memory. A body larger than maxBufferedBody is
-// marked for streaming; c.body then holds the part that has been read.
-func (c *call) readBody() error {
-	length := c.r.ContentLength
-	if length == 0 {
-		return nil
-	}
-	if length > maxBufferedBody {
-		c.stream = true
-		return nil
-	}
-	if length > 0 {
-		c.body = make([]byte, length)
-		_, err := io.ReadFull(c.r.Body, c.body)
-		return errors.Wrap(err, "read the request body")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxBufferedBody+1))
-	c.body = body
-	if err == nil && len(body) > maxBufferedBody {
-		c.stream = true
-	}
-	return errors.Wrap(err, "read the request body")
-}
-
 // attemptBody returns the request body for the next attempt. A streamed body is consumed
 // by the first attempt.
 func (c *call) attemptBody() exchange.Body {
--- a/internal/sidecar/final.go
+++ b/internal/sidecar/final.go
@@ -45,7 +45,7 @@
 		h["Retry-After"] = []string{strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)}
 	}
 	h[outcome.Header] = []string{r.HeaderValue()}
-	if c.r.Method != http.MethodGet && c.body == nil && c.r.ContentLength != 0 {
+	if c.r.ContentLength != 0 && !c.bodyComplete {
 		h["Connection"] = []string{"close"} // the body has not been read completely
 	}
 	h["Content-Type"] = []string{"text/plain"}
@@ -85,9 +85,16 @@
 	return max(time.Duration(share*float64(target)), minRetryDelay)
 }
 
+// logText returns the part of a text of another process that log lines contain, since the
+// text may be as long as a head.
+func logText(s string) string {
+	const most = 200 // bytes
+	return s[:min(len(s), most)]
+}
+
 // logFields returns the fields that all log lines about the call contain.
 func (c *call) logFields() []any {
-	fields := []any{"request", c.id, "service", c.service, "rank", c.level, "inner", c.nested,
+	fields := []any{"request", logText(c.id), "service", c.service, "rank", c.level, "inner", c.nested,
 		"ms", (c.node.now() - c.arrived).Milliseconds(), "attempts", c.attempts, "nodes", c.triedHosts}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "deadline_ms", (c.deadline - c.arrived).Milliseconds())
@@ -186,6 +193,7 @@
 	gauge("declaration.age_ms", n.roster.DeclarationAge(now).Milliseconds())
 	gauge("upstream.announced_ms", n.tracker.Age(now).Milliseconds())
 	n.mu.Unlock()
+	n.limits.updateGauges()
 	gauge("requests.open", n.openRequests.Load())
 	gauge("store.read_open_ms", n.since(&n.readBegan).Milliseconds())
 	gauge("store.answered_ms", n.since(&n.storeAnswered).Milliseconds())
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -243,6 +243,7 @@
 		n.cursor = Cursor{Offset: d.Offset, Known: true}
 	}
 	n.configureComponents(c)
+	n.limits.setCallerHeadLimit(c.Limits.MaxHeader)
 	n.roster.SetDeclarationVersion(n.now(), c.Version)
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -47,7 +47,7 @@
 	n.mu.Unlock()
 	n.send(out)
 	if result.Changed || result.Foreign {
-		n.cfg.Log.Write(eventlog.Observation, "upstream announced", "instance", a.Instance, "service", a.Service, "state", a.State.String(),
+		n.cfg.Log.Write(eventlog.Observation, "upstream announced", "instance", logText(a.Instance), "service", logText(string(a.Service)), "state", a.State.String(),
 			"slots", a.Slots, "sequence", a.Sequence, "born", a.StartTime, "restarted", result.Restarted, "foreign", result.Foreign)
 	}
 	if a.State != upstream.Ready && !result.Foreign {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -16,6 +16,7 @@
 	"cardamomhatch/internal/catalog"
 	"cardamomhatch/internal/eventlog"
 	"cardamomhatch/internal/exchange"
+	"cardamomhatch/internal/intake"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/peer"
 	"cardamomhatch/internal/pressure"
@@ -56,6 +57,7 @@
 	receiver      *peer.Receiver  // of control messages
 	controlClient *peer.Client    // sends control messages to peers
 	upstreamPool  *exchange.Pool  // connections to the local upstream
+	limits        *clientLimits   // of what clients may hold of memory and descriptors
 	departures    chan struct{}   // receives a value when a departure is to be stored
 	doubts        chan struct{}   // receives a value when the data centre is in doubt whether the store answers its readers
 	lastID        atomic.Uint64   // last ID given to a request at the gate or the limiter; not a caller's request ID
@@ -136,6 +138,7 @@
 	}
 	n.inFlight = pressure.NewInFlight(n.callGraph)
 	n.gate.AwaitAnswer()
+	n.limits = newClientLimits(n)
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.upstreamPool = exchange.New(exchange.Config{
 		Address: cfg.UpstreamAddress, DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout,
@@ -161,15 +164,15 @@
 // Start starts the listeners and the background loops. It does not block.
 func (n *Node) Start() {
 	l := n.cfg.Listeners
-	n.serve(l.Callers, http.HandlerFunc(n.serveCaller))
-	n.serve(l.Peers, http.HandlerFunc(n.servePeer))
+	n.serve(intake.Callers, l.Callers, http.HandlerFunc(n.serveCaller))
+	n.serve(intake.Peers, l.Peers, http.HandlerFunc(n.servePeer))
 	if n.cfg.Announcements != nil {
-		n.serve(l.Announcements, n.cfg.Announcements(n))
+		n.serve(intake.Announcements, l.Announcements, n.cfg.Announcements(n))
 	}
 	if n.cfg.Ready != nil {
-		n.serve(l.Ready, n.cfg.Ready(n))
+		n.serve(intake.Ready, l.Ready, n.cfg.Ready(n))
 	}
-	n.serve(l.Metrics, http.HandlerFunc(n.serveMetrics))
+	n.serve(intake.Metrics, l.Metrics, http.HandlerFunc(n.serveMetrics))
 	n.startLoop(n.tick)
 	n.startLoop(n.followDeclaration)
 	n.startLoop(n.publishAndList)
@@ -180,8 +183,9 @@
 		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service)
 }
 
-// serve starts an HTTP server on the listener, unless the listener is nil.
-func (n *Node) serve(l net.Listener, h http.Handler) {
+// serve starts an HTTP server on the listener, unless the listener is nil. Its clients share
+// the part of the budget of the given class.
+func (n *Node) serve(class intake.Class, l net.Listener, h http.Handler) {
 	if l == nil {
 		return
 	}
@@ -192,6 +196,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // net/http can log requests that contain keys
 	}
+	l = n.limitServer(s, l, class)
 	n.servers = append(n.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -251,9 +256,11 @@
 	}
 }
 
-// trimPools periodically closes idle connections to peers and the upstream.
+// trimPools periodically closes idle connections to peers and the upstream, and logs the
+// clients' connections that were closed.
 func (n *Node) trimPools() {
 	for n.pause(trimInterval) {
+		n.limits.logClosed()
 		n.mu.Lock()
 		pools := make([]*exchange.Pool, 0, len(n.pools)+1)
 		for _, p := range n.pools {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -54,8 +54,9 @@
 }
 
 // bufferResponse reads a response of up to responseBufferLimit bytes. If the response is
-// longer, complete is false and body is the part that has been read, which may be empty.
-func bufferResponse(resp *exchange.Response) (body []byte, complete bool, err error) {
+// longer, or the connection may not be charged for its memory, complete is false and body is
+// the part that has been read, which may be empty.
+func bufferResponse(resp *exchange.Response, conn *clientConn) (body []byte, complete bool, err error) {
 	if resp.ContentLength > responseBufferLimit {
 		return nil, false, nil
 	}
@@ -63,9 +64,15 @@
 	if size < 0 {
 		size = 4 << 10 // initial capacity in bytes; the body can be longer
 	}
+	if size > 0 && !conn.growIfPlenty(int(size)) {
+		return nil, false, nil
+	}
 	body = make([]byte, 0, size+1)
 	for len(body) <= responseBufferLimit {
 		if len(body) == cap(body) {
+			if !conn.growIfPlenty(cap(body)) { // append doubles the capacity
+				return body, false, nil
+			}
 			body = append(body, 0)[:len(body)]
 		}
 		n, err := resp.Read(body[len(body):cap(body)])
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -422,7 +422,7 @@
 		return
 	}
 	rep := n.report(req.Route)
-	n.cfg.Log.Write(kind, "serving node refused", "request", req.id, "service", req.Service, "workspace", req.Workspace,
+	n.cfg.Log.Write(kind, "serving node refused", "request", logText(req.id), "service", logText(string(req.Service)), "workspace", logText(string(req.Workspace)),
 		"rank", req.Level, "inner", req.Nested, "execution", r.Execution.String(), "reason", r.Reason.String(), "detail", r.Detail,
 		"running", rep.Load.InFlight, "queued", rep.Load.Queued, "limit", rep.Load.Limit, "remaining_ms", req.Remaining.Milliseconds())
 }
@@ -443,7 +443,7 @@
 	w.WriteHeader(result.response.StatusCode)
 	if err := copyResponse(w, result.response); err != nil {
 		n.metrics.brokenResponses.Inc(1)
-		n.cfg.Log.Write(eventlog.Failed, "response to peer truncated", "request", req.id, "service", req.Service, "err", err)
+		n.cfg.Log.Write(eventlog.Failed, "response to peer truncated", "request", logText(req.id), "service", logText(string(req.Service)), "err", err)
 		panic(http.ErrAbortHandler)
 	}
 	complete = true
