Count descriptors of clients by their name and leave room after each charge

Cause: a single charge could take all that is free, since the threshold was compared with what is free before it; 11 MB of a control message left nothing for other clients of the listener. The core called a descriptor slot, which is the term for calls that an upstream can run.

Change: the threshold is compared with what is free after the charge. Core, metrics and log fields say descriptors. TestHeadOverTheLimit also checks the log line and the counter.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,10 +10,10 @@
 
 // The reasons.
 const (
-	None        Reason = iota
-	HeadTooLong        // the head of a request is longer than the limit
-	MemoryShort        // the client holds its share of the memory
-	SlotsShort         // the client holds its share of the connections
+	None             Reason = iota
+	HeadTooLong             // the head of a request is longer than the limit
+	MemoryShort             // the client holds its share of the memory
+	DescriptorsShort        // the client holds its share of the connections
 
 	NumReasons
 )
@@ -37,15 +37,15 @@
 type Conn struct {
 	Owner any // of the caller of Open; the budget does not use it
 
-	class    Class
-	client   *client
-	state    state
-	closed   bool
-	used     bool // has carried a request
-	slots    int
-	held     int64 // bytes charged for the current head or request
-	headSize int   // bytes of the current head
-	charged  bool  // the bytes and lines that were read before the current head are charged
+	class       Class
+	client      *client
+	state       state
+	closed      bool
+	used        bool // has carried a request
+	descriptors int
+	held        int64 // bytes charged for the current head or request
+	headSize    int   // bytes of the current head
+	charged     bool  // the bytes and lines that were read before the current head are charged
 	// ahead is the last read into the buffer of net/http, which may hold the start of the
 	// next head.
 	aheadSize, aheadLines int
@@ -60,19 +60,19 @@
 
 // client is the account of one remote address within a class.
 type client struct {
-	address netip.Addr
-	held    int64
-	slots   int
-	conns   map[*Conn]struct{}
+	address     netip.Addr
+	held        int64
+	descriptors int
+	conns       map[*Conn]struct{}
 }
 
 // part is the state of one class.
 type part struct {
 	Allotment
-	headLimit int // bytes
-	slots     int // in use
-	held      int64
-	clients   map[netip.Addr]*client
+	headLimit   int // bytes
+	descriptors int // in use
+	held        int64
+	clients     map[netip.Addr]*client
 }
 
 // Evicted is a connection that must be closed at once. Its charges are released already.
@@ -100,10 +100,10 @@
 // added, because heads are counted in the units in which they are read.
 func (b *Budget) SetHeadLimit(class Class, bytes int) { b.parts[class].headLimit = bytes }
 
-// Usage returns the slots and the memory in bytes that a class uses, and its number of clients.
-func (b *Budget) Usage(class Class) (slots int, held int64, clients int) {
+// Usage returns the descriptors and the memory in bytes that a class uses, and its number of clients.
+func (b *Budget) Usage(class Class) (descriptors int, held int64, clients int) {
 	p := &b.parts[class]
-	return p.slots, p.held, len(p.clients)
+	return p.descriptors, p.held, len(p.clients)
 }
 
 // Evicted returns the connections that gave way since the last call. The caller must close
@@ -123,19 +123,19 @@
 	if cl == nil {
 		cl = &client{address: key, conns: map[*Conn]struct{}{}}
 	}
-	for p.slots >= p.Slots || cl.slots+1 > slotMultiple*(p.Slots-p.slots) {
-		largest := p.clientWithMostSlots(cl)
+	for p.descriptors >= p.Descriptors || cl.descriptors+1 > descriptorMultiple*(p.Descriptors-p.descriptors) {
+		largest := p.clientWithMostDescriptors(cl)
 		victim := largest.quietest()
 		if victim == nil || (largest == cl && now-victim.active < minQuietTime) {
 			return nil
 		}
-		b.evict(victim, SlotsShort)
+		b.evict(victim, DescriptorsShort)
 	}
-	c := &Conn{class: class, client: cl, slots: 1, active: now}
+	c := &Conn{class: class, client: cl, descriptors: 1, active: now}
 	p.clients[key] = cl
 	cl.conns[c] = struct{}{}
-	cl.slots++
-	p.slots++
+	cl.descriptors++
+	p.descriptors++
 	return c
 }
 
@@ -199,16 +199,16 @@
 		return true
 	}
 	p := &b.parts[c.class]
-	for p.slots >= p.Slots {
-		victim := p.clientWithMostSlots(c.client).quietest()
+	for p.descriptors >= p.Descriptors {
+		victim := p.clientWithMostDescriptors(c.client).quietest()
 		if victim == nil || victim == c {
 			return false
 		}
-		b.evict(victim, SlotsShort)
+		b.evict(victim, DescriptorsShort)
 	}
-	c.slots++
-	c.client.slots++
-	p.slots++
+	c.descriptors++
+	c.client.descriptors++
+	p.descriptors++
 	return true
 }
 
@@ -224,7 +224,7 @@
 // gives way to it, and it leaves room for further requests of the same client.
 func (b *Budget) GrowIfPlenty(c *Conn, bytes int64) bool {
 	p := &b.parts[c.class]
-	if c.closed || c.client.held+bytes > largeMultiple*(p.Memory-p.held) {
+	if c.closed || c.client.held+bytes > largeMultiple*(p.Memory-p.held-bytes) {
 		return false
 	}
 	p.add(c, bytes)
@@ -263,15 +263,15 @@
 	}
 }
 
-// release gives back the memory of a connection and all but the given number of its slots.
-func (b *Budget) release(c *Conn, slots int) {
+// release gives back the memory of a connection and all but the given number of its descriptors.
+func (b *Budget) release(c *Conn, descriptors int) {
 	p := &b.parts[c.class]
 	p.held -= c.held
 	c.client.held -= c.held
 	c.held = 0
-	p.slots -= c.slots - slots
-	c.client.slots -= c.slots - slots
-	c.slots = slots
+	p.descriptors -= c.descriptors - descriptors
+	c.client.descriptors -= c.descriptors - descriptors
+	c.descriptors = descriptors
 }
 
 // charge charges a connection, if need be after others gave way. It returns false if the
@@ -305,8 +305,7 @@
 	case total > smallCharge:
 		multiple = mediumMultiple
 	}
-	free := p.Memory - p.held
-	return bytes <= free && c.client.held+bytes <= multiple*free
+	return c.client.held+bytes <= multiple*(p.Memory-p.held-bytes)
 }
 
 func (b *Budget) evict(c *Conn, r Reason) {
@@ -326,12 +325,12 @@
 	return most
 }
 
-// clientWithMostSlots returns the client that would have the most slots if the given one had
+// clientWithMostDescriptors returns the client that would have the most descriptors if the given one had
 // one more. Among equals it is the given one.
-func (p *part) clientWithMostSlots(cl *client) *client {
+func (p *part) clientWithMostDescriptors(cl *client) *client {
 	most := cl
 	for _, other := range p.clients {
-		if other != cl && other.slots > cl.slots+1 && (most == cl || other.slots > most.slots) {
+		if other != cl && other.descriptors > cl.descriptors+1 && (most == cl || other.descriptors > most.descriptors) {
 			most = other
 		}
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -58,19 +58,19 @@
 					playCrowd(b, now, c, p)
 				}
 				b.Evicted()
-				slots, held, _ := b.Usage(Callers)
-				if held > allotment.Memory || slots > allotment.Slots {
-					t.Fatalf("connection %d: %d bytes and %d slots are in use, want at most %+v", i, held, slots, allotment)
+				descriptors, held, _ := b.Usage(Callers)
+				if held > allotment.Memory || descriptors > allotment.Descriptors {
+					t.Fatalf("connection %d: %d bytes and %d descriptors are in use, want at most %+v", i, held, descriptors, allotment)
 				}
 				if !serveOrdinary(b, now) {
-					t.Fatalf("connection %d: an ordinary request was refused with %d bytes and %d slots in use", i, held, slots)
+					t.Fatalf("connection %d: an ordinary request was refused with %d bytes and %d descriptors in use", i, held, descriptors)
 				}
 			}
 			for _, c := range conns {
 				b.Close(c)
 			}
-			if slots, held, clients := b.Usage(Callers); slots != 0 || held != 0 || clients != 0 {
-				t.Errorf("%d slots, %d bytes and %d clients are in use after all connections were closed", slots, held, clients)
+			if descriptors, held, clients := b.Usage(Callers); descriptors != 0 || held != 0 || clients != 0 {
+				t.Errorf("%d descriptors, %d bytes and %d clients are in use after all connections were closed", descriptors, held, clients)
 			}
 		})
 	}
@@ -181,7 +181,8 @@
 }
 
 // Guards against callers that are refused because the answers to others of the same address
-// are buffered: 300 requests, the slots of the largest upstreams, in any order of arrival and
+// are buffered: 300 requests, as many as the
+// largest upstreams run, in any order of arrival and
 // buffering.
 func TestAnswersLeaveRoomForRequests(t *testing.T) {
 	b := New(NewPlan(Host{}))
@@ -199,17 +200,17 @@
 // more idle, and against a new client that gets no connection.
 func TestQuietConnectionsGiveWay(t *testing.T) {
 	b := New(NewPlan(Host{}))
-	slots := b.parts[Callers].Slots
+	descriptors := b.parts[Callers].Descriptors
 	var conns []*Conn
-	for i := range slots {
+	for i := range descriptors {
 		c := b.Open(time.Duration(i), Callers, crowd)
 		if c == nil {
 			break
 		}
 		conns = append(conns, c)
 	}
-	if len(conns) > slots*3/4+1 || len(conns) < slots/2 {
-		t.Fatalf("one client has %d connections of %d slots", len(conns), slots)
+	if len(conns) > descriptors*3/4+1 || len(conns) < descriptors/2 {
+		t.Fatalf("one client has %d connections of %d descriptors", len(conns), descriptors)
 	}
 	b.Received(0, conns[0], 600, 12)
 	b.Begin(conns[0], false)
@@ -223,7 +224,7 @@
 		t.Error("a further connection of the client was refused although others are quiet")
 	}
 	for _, e := range b.Evicted() {
-		if e.Conn == conns[0] || e.Conn == conns[2] || e.Reason != SlotsShort {
+		if e.Conn == conns[0] || e.Conn == conns[2] || e.Reason != DescriptorsShort {
 			t.Errorf("a connection gave way that runs a request or has carried one, or for %s", e.Reason)
 		}
 	}
@@ -232,6 +233,20 @@
 	}
 }
 
+// Guards against a single large charge that takes what is left for other clients.
+func TestOneChargeLeavesRoom(t *testing.T) {
+	b := New(NewPlan(Host{}))
+	memory := b.parts[Peers].Memory
+	c := b.Open(0, Peers, crowd)
+	b.TakeOver(c)
+	if b.GrowIfPlenty(c, memory*2/3) || b.Grow(c, memory*2/3) {
+		t.Error("two thirds of the memory were charged to one large connection")
+	}
+	if !b.GrowIfPlenty(c, memory/3) {
+		t.Error("a third of the memory was refused")
+	}
+}
+
 // Guards against listeners that starve each other: with all of the callers' part in use, peers
 // and the others are served.
 func TestClassesAreSeparate(t *testing.T) {
@@ -251,8 +266,8 @@
 	b.Received(0, peer, 100, 3)
 	b.Begin(peer, false)
 	b.TakeOver(peer)
-	if peer.held != 0 || peer.slots != 1 {
-		t.Errorf("a control connection holds %d bytes and %d slots, want 0 and 1", peer.held, peer.slots)
+	if peer.held != 0 || peer.descriptors != 1 {
+		t.Errorf("a control connection holds %d bytes and %d descriptors, want 0 and 1", peer.held, peer.descriptors)
 	}
 }
 
@@ -261,19 +276,19 @@
 	for _, h := range []Host{{}, {184 << 20, 4100}, {64 << 20, 420}, {1 << 20, 10}, {8 << 30, 1 << 20}} {
 		p := NewPlan(h)
 		var memory int64
-		slots := 0
+		descriptors := 0
 		for _, a := range p.Allotments {
-			memory += a.Memory + int64(a.Slots)*slotCost
-			slots += a.Slots
-			if a.Memory < requestCost || a.Slots < minSlots {
+			memory += a.Memory + int64(a.Descriptors)*connectionCost
+			descriptors += a.Descriptors
+			if a.Memory < requestCost || a.Descriptors < minDescriptors {
 				t.Errorf("%+v: %+v leaves no room", h, a)
 			}
 		}
 		if h.Memory >= 64<<20 && baseMemory+int64(garbageFactor*float64(memory)) > p.ProcessMemory+(2<<20) {
 			t.Errorf("%+v: the parts add up to %d bytes, the process has %d", h, memory, p.ProcessMemory)
 		}
-		if h.Descriptors >= 400 && slots > h.Descriptors-fileReserve {
-			t.Errorf("%+v: %d slots", h, slots)
+		if h.Descriptors >= 400 && descriptors > h.Descriptors-fileReserve {
+			t.Errorf("%+v: %d descriptors", h, descriptors)
 		}
 	}
 	if fmt.Sprint(NewPlan(Host{})) != fmt.Sprint(NewPlan(Host{184 << 20, 4100})) {
@@ -323,19 +338,19 @@
 
 func checkSums(t *testing.T, b *Budget, conns []*Conn) {
 	var held [NumClasses]int64
-	var slots [NumClasses]int
+	var descriptors [NumClasses]int
 	for _, c := range conns {
-		if c.closed && (c.held != 0 || c.slots != 0) {
-			t.Fatalf("a closed connection holds %d bytes and %d slots", c.held, c.slots)
+		if c.closed && (c.held != 0 || c.descriptors != 0) {
+			t.Fatalf("a closed connection holds %d bytes and %d descriptors", c.held, c.descriptors)
 		}
 		held[c.class] += c.held
-		slots[c.class] += c.slots
+		descriptors[c.class] += c.descriptors
 	}
 	for class := range NumClasses {
 		p := &b.parts[class]
-		gotSlots, gotHeld, _ := b.Usage(class)
-		if gotHeld != held[class] || gotSlots != slots[class] || gotHeld > p.Memory || gotSlots > p.Slots {
-			t.Fatalf("%s: %d bytes and %d slots, the connections have %d and %d of %+v", class, gotHeld, gotSlots, held[class], slots[class], p.Allotment)
+		gotDescriptors, gotHeld, _ := b.Usage(class)
+		if gotHeld != held[class] || gotDescriptors != descriptors[class] || gotHeld > p.Memory || gotDescriptors > p.Descriptors {
+			t.Fatalf("%s: %d bytes and %d descriptors, the connections have %d and %d of %+v", class, gotHeld, gotDescriptors, held[class], descriptors[class], p.Allotment)
 		}
 	}
 }
--- a/internal/intake/plan.go
+++ b/internal/intake/plan.go
@@ -65,16 +65,15 @@
 	garbageFactor = 1.5
 	minBudget     = 12 << 20 // bytes; for hosts with less memory than the product is made for
 	// filesShare bounds the descriptors that are set aside for files, on hosts with few.
-	filesShare    = 0.5
-	fileReserve   = 200 // descriptors
-	slotCost      = connectionCost
-	maxSlotMemory = 0.6 // fraction of the budget that connections may use
+	filesShare          = 0.5
+	fileReserve         = 200 // descriptors
+	maxConnectionMemory = 0.6 // fraction of the budget that connections may use
 )
 
 // shares is the split of the descriptors and of the memory for requests between the classes.
 // The rest of the descriptors is for connections to the store, idle ones to peers and the
 // upstream, and listeners.
-var shares = [NumClasses]struct{ slots, memory float64 }{
+var shares = [NumClasses]struct{ descriptors, memory float64 }{
 	Callers:       {0.45, 0.5},
 	Peers:         {0.25, 0.32},
 	Announcements: {0.03, 0.06},
@@ -102,10 +101,10 @@
 
 // Allotment is the part of one class.
 type Allotment struct {
-	// Slots is the number of connections and, for callers and peers, of running requests
+	// Descriptors is the number of connections and, for callers and peers, of running requests
 	// together, since a running request has a connection to a peer or the upstream.
-	Slots  int
-	Memory int64 // bytes for heads, bodies, requests and answers
+	Descriptors int
+	Memory      int64 // bytes for heads, bodies, requests and answers
 }
 
 // NewPlan derives the budget from what the host has.
@@ -122,30 +121,30 @@
 	descriptors := float64(h.Descriptors) - files
 	total := 0.0
 	for _, s := range shares {
-		total += s.slots
+		total += s.descriptors
 	}
-	descriptors = min(descriptors, maxSlotMemory*budget/slotCost/total)
-	rest := budget - descriptors*total*slotCost
+	descriptors = min(descriptors, maxConnectionMemory*budget/connectionCost/total)
+	rest := budget - descriptors*total*connectionCost
 	for i, s := range shares {
-		p.Allotments[i] = Allotment{Slots: max(int(s.slots*descriptors), minSlots), Memory: int64(s.memory * rest)}
+		p.Allotments[i] = Allotment{Descriptors: max(int(s.descriptors*descriptors), minDescriptors), Memory: int64(s.memory * rest)}
 	}
 	return p
 }
 
 const (
-	minSlots = 4
+	minDescriptors = 4
 	// smallCharge and largeCharge separate small, medium and large connections, in bytes held
 	// by one. An ordinary request without much of a body is small.
 	smallCharge = 32 << 10
 	largeCharge = 64 << 10
-	// Of the memory of a class, one client may hold a multiple of what is free, which depends
+	// Of the memory of a class, one client may hold a multiple of what is then free, which depends
 	// on the size of the connection to be charged. So a client alone gets a half for large
 	// connections, two thirds for medium ones and seven eighths for small ones: large ones
 	// give way before small ones of the same client.
-	smallMultiple  = 7
-	mediumMultiple = 2
-	largeMultiple  = 1
-	slotMultiple   = 3 // of the free slots, for the connections of one client
+	smallMultiple      = 7
+	mediumMultiple     = 2
+	largeMultiple      = 1
+	descriptorMultiple = 3 // of the free descriptors, for the connections of one client
 	// minQuietTime is how long a connection must have been without activity to give way to a
 	// new one of the same client. Otherwise the new one is refused.
 	minQuietTime = time.Second
--- a/internal/sidecar/intake.go
+++ b/internal/sidecar/intake.go
@@ -39,10 +39,10 @@
 	// maxLingering limits the connections that are read on. The others are closed at once.
 	maxLingering  = 32
 	maxLingerHeld = 32 << 10 // bytes; with a larger head, the memory is freed at once
-	// crowdedSlots is the number of connections and running requests of a class above which
+	// crowdedDescriptors is the number of connections and running requests of a class above which
 	// the kernel buffers of new connections are small, since the kernel keeps up to 128 KiB
 	// and more of bytes that were not read. A larger body gets a large buffer again.
-	crowdedSlots       = 256
+	crowdedDescriptors = 256
 	crowdedKernelBytes = 32 << 10
 	streamKernelBytes  = 256 << 10
 	closingLogInterval = time.Second // between log lines about closed connections
@@ -142,18 +142,18 @@
 	l.mu.Lock()
 	c.account = l.budget.Open(l.now(), class, address)
 	if c.account == nil {
-		l.count(intake.SlotsShort, class, address)
+		l.count(intake.DescriptorsShort, class, address)
 	} else {
 		c.account.Owner = c
 	}
-	slots, _, _ := l.budget.Usage(class)
+	descriptors, _, _ := l.budget.Usage(class)
 	evicted := l.evicted()
 	l.mu.Unlock()
 	closeAll(evicted)
 	if c.account == nil {
 		return nil
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && slots > crowdedSlots {
+	if tcp, ok := conn.(*net.TCPConn); ok && descriptors > crowdedDescriptors {
 		// An error means that the connection has ended.
 		_ = tcp.SetReadBuffer(crowdedKernelBytes)
 		_ = tcp.SetWriteBuffer(crowdedKernelBytes)
@@ -201,8 +201,8 @@
 		}
 	}
 	for class := range intake.NumClasses {
-		if slots, held, clients := l.budget.Usage(class); clients > 0 && class <= intake.Peers {
-			fields = append(fields, class.String()+"_slots", slots, class.String()+"_bytes", held, class.String()+"_clients", clients)
+		if descriptors, held, clients := l.budget.Usage(class); clients > 0 && class <= intake.Peers {
+			fields = append(fields, class.String()+"_descriptors", descriptors, class.String()+"_bytes", held, class.String()+"_clients", clients)
 		}
 	}
 	l.log.Write(eventlog.Observation, "clients limited", fields...)
@@ -214,8 +214,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for class := range intake.NumClasses {
-		slots, held, clients := l.budget.Usage(class)
-		for name, value := range map[string]int64{"slots": int64(slots), "bytes": held, "clients": int64(clients)} {
+		descriptors, held, clients := l.budget.Usage(class)
+		for name, value := range map[string]int64{"descriptors": int64(descriptors), "bytes": held, "clients": int64(clients)} {
 			metrics.GetOrRegisterGauge("intake."+class.String()+"."+name, l.registry).Update(value)
 		}
 	}
--- a/internal/sidecar/intake_test.go
+++ b/internal/sidecar/intake_test.go
@@ -133,13 +133,13 @@
 	eventually(t, "nothing is charged", func() bool {
 		entry.node.limits.mu.Lock()
 		defer entry.node.limits.mu.Unlock()
-		slots, held, _ := entry.node.limits.budget.Usage(intake.Callers)
-		return slots == 0 && held == 0
+		descriptors, held, _ := entry.node.limits.budget.Usage(intake.Callers)
+		return descriptors == 0 && held == 0
 	})
 }
 
-// Guards against heads over the limit that are accepted, and refusals of them that do not say
-// that the request has not run.
+// Guards against heads over the limit that are accepted, refusals of them that do not say
+// that the request has not run, and limits of which an operator sees nothing.
 func TestHeadOverTheLimit(t *testing.T) {
 	entry, serving := startLimitedMesh(t)
 	conn := dialCaller(t, entry)
@@ -153,6 +153,17 @@
 	if n := serving[0].runCount("over") + serving[1].runCount("over"); n != 0 {
 		t.Errorf("the request ran %d times", n)
 	}
+	eventually(t, "a line tells of the refused head", func() bool {
+		for _, line := range entry.log.lines() {
+			if line["msg"] == "clients limited" && line["head-too-long"] == 1.0 && line["last_client"] == "127.0.0.1" {
+				return true
+			}
+		}
+		return false
+	})
+	if n := metrics.GetOrRegisterCounter("intake.callers.closed.head-too-long", entry.node.cfg.Metrics).Count(); n != 1 {
+		t.Errorf("%d refused heads are counted, want 1", n)
+	}
 }
 
 // Guards against bodies that stop short of their end and keep their request for longer than
@@ -275,9 +286,9 @@
 		conn.Close()
 		for range 1000 {
 			n.limits.mu.Lock()
-			slots, held, _ := n.limits.budget.Usage(intake.Callers)
+			descriptors, held, _ := n.limits.budget.Usage(intake.Callers)
 			n.limits.mu.Unlock()
-			if slots == 0 && held == 0 {
+			if descriptors == 0 && held == 0 {
 				return
 			}
 			time.Sleep(10 * time.Millisecond)
