--- a/internal/sidecar/intake.go
+++ b/internal/sidecar/intake.go
@@ -239,7 +239,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if c.control.Load() {
-		return n, c.readMessages(p[:n], err)
+		return c.readMessages(p[:n], err)
 	}
 	if n == 0 {
 		return n, err
@@ -267,17 +267,19 @@
 	return 0, c.refused
 }
 
-// readMessages records what was read from a connection that carries control messages. It
-// returns the given error of the read, or another if the connection must not be read on.
-func (c *clientConn) readMessages(p []byte, err error) error {
+// readMessages records what was read, with the given result, from a connection that carries
+// control messages. It returns the result of Read. If a message must not be received, nothing
+// of it is passed on, since the decoder would allocate the length that it announces.
+func (c *clientConn) readMessages(p []byte, err error) (int, error) {
+	n := len(p)
 	if !c.messages.Scan(p, c.beginMessage, c.endMessage) {
-		err = errMessageTooLong
+		n, err = 0, errMessageTooLong
 	}
 	if err != nil {
 		c.refused = err
 		c.releaseLarge()
 	}
-	return err
+	return n, err
 }
 
 var errMessageTooLong = errors.New("a control message is too long or there is no memory for it")
