--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -25,7 +25,15 @@
 
 	Store netip.AddrPort // address of the platform's store, which holds the declaration
 
-	Terms Terms
+	Terms  Terms
+	Limits Limits
+}
+
+// Limits holds what the host has for this process and for what others send to it. Zero means
+// that the settings do not say.
+type Limits struct {
+	MemoryMB       int // memory of the host
+	MaxDescriptors int // file descriptors of the host
 }
 
 // Terms holds the operating parameters that the operator may set. Those that are
@@ -84,6 +92,9 @@
 		s.Store = p.parseAddress(sec, "address", sec.Text("address"), false)
 	})
 	p.readSection("terms", func(sec *inifile.Section) { s.Terms = readTerms(sec) })
+	if p.sections["limits"] != nil { // the section is optional
+		p.readSection("limits", func(sec *inifile.Section) { s.Limits = readLimits(sec) })
+	}
 	return s
 }
 
@@ -126,3 +137,20 @@
 	}
 	return t
 }
+
+func readLimits(sec *inifile.Section) Limits {
+	const most = 1 << 30
+	read := func(key string) int {
+		v := sec.FloatOr(key, 0) // a platform may render whole numbers with a fraction
+		switch {
+		case v < 0:
+			sec.AddProblem(key, "value is below zero")
+			return 0
+		case v > most:
+			sec.AddProblem(key, "value is too large")
+			return 0
+		}
+		return int(v)
+	}
+	return Limits{MemoryMB: read("memory_mb"), MaxDescriptors: read("max_descriptors")}
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -294,6 +294,7 @@
 		n.cursor = next
 	}
 	n.configureComponents(c)
+	n.limits.setCallerHeadLimit(c.Limits.MaxHeader)
 	n.roster.SetDeclarationVersion(n.now(), c.Version)
 	out := n.roster.Outgoing()
 	n.mu.Unlock()
