Wait for the state of the data centres only where they are evacuated

A node that starts refused requests for its upstream until the store or a peer had told it which data centres are evacuated, for up to 2 s, also in deployments without evacuations. The setting evacuate now turns that on. TestColdTerms covers the setting.

--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -120,9 +120,10 @@
 		Directory:       store,
 		Bounds: sidecar.Bounds{
 			Drain: nodeSettings.Terms.Drain, Heartbeat: nodeSettings.Terms.Heartbeat,
-			Retry: retry.BudgetConfig{Ratio: nodeSettings.Terms.RetryRatio, Allowance: nodeSettings.Terms.RetryAllowance, Window: nodeSettings.Terms.RetryWindow},
-			Quota: ratelimit.Tolerance{Window: nodeSettings.Terms.QuotaWindow, Overage: nodeSettings.Terms.QuotaOverage, Slack: nodeSettings.Terms.QuotaSlack},
-			Cold:  sidecar.ColdTolerance{Overage: nodeSettings.Terms.ColdOverage, Slack: nodeSettings.Terms.ColdSlack},
+			Retry:    retry.BudgetConfig{Ratio: nodeSettings.Terms.RetryRatio, Allowance: nodeSettings.Terms.RetryAllowance, Window: nodeSettings.Terms.RetryWindow},
+			Quota:    ratelimit.Tolerance{Window: nodeSettings.Terms.QuotaWindow, Overage: nodeSettings.Terms.QuotaOverage, Slack: nodeSettings.Terms.QuotaSlack},
+			Evacuate: nodeSettings.Terms.Evacuate,
+			Cold:     sidecar.ColdTolerance{Overage: nodeSettings.Terms.ColdOverage, Slack: nodeSettings.Terms.ColdSlack},
 		},
 		HostLimits:    hostLimits(nodeSettings.Limits),
 		Log:           log,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 var validSettings = `[node]
@@ -70,20 +71,24 @@
 	})
 }
 
-// Guards against terms of cold upstreams that are lost, or so wrong that no request or any
+// Guards against terms of evacuations and cold upstreams that are lost, or so wrong that no request or any
 // number of them would be sent.
 func TestColdTerms(t *testing.T) {
 	const base = "[node]\nhost = h\ndata_centre = d\nservice = s\nupstream = 10.0.0.1:80\n[listen]\ncallers = 10.0.0.1:1\npeers = 10.0.0.1:2\nannouncements = 10.0.0.1:3\nready = 10.0.0.1:4\nmetrics = 10.0.0.1:5\n[store]\naddress = 10.0.0.2:1\n[terms]\n"
-	for terms, want := range map[string]Terms{"": {ColdOverage: 1}, "cold_overage = 1.5\ncold_slack = 8\n": {ColdOverage: 1.5, ColdSlack: 8}} {
+	for terms, want := range map[string]Terms{"": {ColdOverage: 1}, "evacuate = 5000ms\ncold_overage = 1.5\ncold_slack = 8\n": {Evacuate: 5 * time.Second, ColdOverage: 1.5, ColdSlack: 8}} {
 		s, err := ParseSidecar("n.ini", []byte(base+terms))
-		if err != nil || s.Terms.ColdOverage != want.ColdOverage || s.Terms.ColdSlack != want.ColdSlack {
-			t.Errorf("terms %q give overage %v and slack %v, error %v", terms, s.Terms.ColdOverage, s.Terms.ColdSlack, err)
+		if err != nil || s.Terms.ColdOverage != want.ColdOverage || s.Terms.ColdSlack != want.ColdSlack || s.Terms.Evacuate != want.Evacuate {
+			t.Errorf("terms %q give evacuate %v, overage %v and slack %v, error %v", terms, s.Terms.Evacuate, s.Terms.ColdOverage, s.Terms.ColdSlack, err)
 		}
 	}
-	for _, key := range []string{"cold_overage", "cold_slack"} {
-		_, err := ParseSidecar("n.ini", []byte(base+key+" = -1\n"))
+	for _, key := range []string{"evacuate", "cold_overage", "cold_slack"} {
+		value := "-1"
+		if key == "evacuate" {
+			value = "-1s"
+		}
+		_, err := ParseSidecar("n.ini", []byte(base+key+" = "+value+"\n"))
 		if err == nil || !strings.Contains(err.Error(), key+": value is below zero") {
-			t.Errorf("%s = -1 gives error %v, want one that names the key", key, err)
+			t.Errorf("%s below zero gives error %v, want one that names the key", key, err)
 		}
 	}
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -48,6 +48,7 @@
 	QuotaWindow    time.Duration // length of the window in which overage and slack are measured
 	QuotaOverage   float64       // fraction of the limit by which a workspace may exceed it in a window
 	QuotaSlack     float64       // requests per window by which a workspace may exceed its limit in addition to the overage
+	Evacuate       time.Duration // time from the operator's request to evacuate a data centre until its upstreams get no request; zero: data centres are not evacuated
 	ColdOverage    float64       // factor of its declared rate that a cold upstream tolerates in any second
 	ColdSlack      float64       // requests per second that a cold upstream tolerates in addition to the overage
 }
@@ -109,6 +110,7 @@
 		QuotaWindow:    sec.DurationOr("quota_window", defaultQuotaWindow),
 		QuotaOverage:   sec.FloatOr("quota_overage", 0),
 		QuotaSlack:     sec.FloatOr("quota_slack", 0),
+		Evacuate:       sec.DurationOr("evacuate", 0),
 		ColdOverage:    sec.FloatOr("cold_overage", defaultColdOverage),
 		ColdSlack:      sec.FloatOr("cold_slack", 0),
 	}
@@ -123,6 +125,9 @@
 			sec.AddProblem(param.key, "value is not above zero")
 		}
 	}
+	if t.Evacuate < 0 {
+		sec.AddProblem("evacuate", "value is below zero")
+	}
 	for _, param := range []struct {
 		key   string
 		value float64
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -99,6 +99,7 @@
 	Heartbeat time.Duration // interval between announcements of an upstream
 	Retry     retry.BudgetConfig
 	Quota     ratelimit.Tolerance // how far a workspace may exceed its rate limit
+	Evacuate  time.Duration       // from the request to evacuate a data centre until its upstreams get no request; zero: data centres are not evacuated
 	Cold      ColdTolerance
 }
 
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -79,9 +79,10 @@
 
 // awaitsEvacuations reports whether this node has started so recently that it may not have
 // heard that its data centre is evacuated: neither the store nor a peer has told it the state
-// of the data centres. n.mu must be held.
+// of the data centres. Where data centres are not evacuated, it has nothing to wait for. n.mu
+// must be held.
 func (n *Node) awaitsEvacuations(now time.Duration) bool {
-	return !n.roster.Evacuations().Known() && now < historyWait
+	return n.cfg.Bounds.Evacuate > 0 && !n.roster.Evacuations().Known() && now < historyWait
 }
 
 // upstreamPhase returns the phase of the local upstream to be published. n.mu must be held.
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -352,7 +352,8 @@
 }
 
 var bounds = Bounds{
-	Drain: time.Second, Heartbeat: time.Second,
+	Evacuate: 5 * time.Second,
+	Drain:    time.Second, Heartbeat: time.Second,
 	Retry: retry.BudgetConfig{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
 	Quota: ratelimit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
 	Cold:  ColdTolerance{Overage: 1.5, Slack: 8},
