Take an empty optional setting for one that is not set

Every node ended within 5 ms with "[terms] evacuate: value is empty" and twelve more lines, because the renderer of the settings knew fewer placeholders than the template and left those keys without a value.

Cause: Section.lookup reported an empty value of any key, required or not, although the doc comment promised the fallback.

Change: in settings, an optional key without a value counts as left out. The line "started" names such keys in unset_settings, "run" and "check-settings" print them. A required key without a value stays an error with file, section and key. The section tls, optional with insecure_loopback, may be empty as a whole only. Declarations stay strict: an empty value there is a mistake of an operator, and nothing renders them.

--- a/cmd/cardamomhatch/check.go
+++ b/cmd/cardamomhatch/check.go
@@ -25,6 +25,9 @@
 	}
 	parsed, err := settings.Parse(filepath.Base(c.File), data)
 	summary := fmt.Sprintf("settings of host %s are valid", parsed.Host)
+	if parsed.Unset != "" {
+		summary += "; without a value, which counts as not set: " + parsed.Unset
+	}
 	return report(s, err, summary, c.JSON)
 }
 
--- a/cmd/cardamomhatch/run.go
+++ b/cmd/cardamomhatch/run.go
@@ -43,6 +43,9 @@
 	p.Start()
 	fmt.Fprintf(s.out, "node %s serves its upstream at %s, callers at %s and operators at %s\n",
 		p.Self.Node, p.LocalAddress, p.Self.CallerAddress, p.Self.OperatorAddress)
+	if nodeSettings.Unset != "" {
+		fmt.Fprintf(s.out, "settings without a value, which count as not set: %s\n", nodeSettings.Unset)
+	}
 	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -126,6 +126,7 @@
 			Cold:     sidecar.ColdTolerance{Overage: nodeSettings.Terms.ColdOverage, Slack: nodeSettings.Terms.ColdSlack},
 		},
 		HostLimits:    hostLimits(nodeSettings.Limits),
+		UnsetSettings: nodeSettings.Unset,
 		Log:           log,
 		Metrics:       registry,
 		Announcements: platform.AnnounceHandler,
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -67,8 +67,13 @@
 // A method whose name ends in Or returns its fallback if the key is missing or
 // its value is empty.
 type Section struct {
-	File     string
-	Name     string
+	File string
+	Name string
+	// EmptyIsUnset makes an optional key with an empty value count as missing instead of
+	// as a problem: a renderer of templates leaves such a key for a value that it does not know.
+	EmptyIsUnset bool
+
+	unset    []string // optional keys that were read with an empty value
 	values   map[string]string
 	keys     []string        // names of the keys, in the order of the file
 	readKeys map[string]bool // keys that a method has read; the others are unknown
@@ -157,18 +162,34 @@
 		s.AddProblem(key, "key is missing")
 	}
 	if ok && v == "" {
-		s.AddProblem(key, "value is empty")
+		if s.EmptyIsUnset && !required {
+			s.unset = append(s.unset, key)
+		} else {
+			s.AddProblem(key, "value is empty")
+		}
 		return "", false
 	}
 	return v, ok
 }
 
+// Unset returns the optional keys that were read with an empty value and count as missing, in
+// the order in which they were read. It is empty without EmptyIsUnset.
+func (s *Section) Unset() []string { return s.unset }
+
 // Text returns the value of a required key, or an empty string if there is none.
 func (s *Section) Text(key string) string {
 	v, _ := s.lookup(key, true)
 	return v
 }
 
+// TextOr returns the value of an optional key.
+func (s *Section) TextOr(key, fallback string) string {
+	if v, ok := s.lookup(key, false); ok {
+		return v
+	}
+	return fallback
+}
+
 // BoolOr returns the value of an optional key that must be true or false.
 func (s *Section) BoolOr(key string, fallback bool) bool {
 	v, ok := s.lookup(key, false)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,10 @@
 	TLSCert, TLSKey, TLSCA string // file paths; may be empty only with InsecureLoopback
 
 	OperatorTokenHash [32]byte // SHA-256 of the operator token
+
+	// Unset lists the optional settings that are present without a value and count as not
+	// set, as "[section] key", separated by commas.
+	Unset string
 }
 
 // Parse parses and validates settings. The error is an inifile.Problems.
@@ -44,6 +48,7 @@
 	p := newParser(file, data)
 	settings := p.readSettings()
 	p.reportUnknownSections()
+	settings.Unset = strings.Join(p.unset, ", ")
 	return settings, p.problems.Err()
 }
 
@@ -56,6 +61,7 @@
 			s.AddProblem("", "section is given twice")
 			continue
 		}
+		s.EmptyIsUnset = true
 		p.sections[s.Name] = s
 	}
 	return p
@@ -72,6 +78,7 @@
 	file             string
 	sections         map[string]*inifile.Section // sections not yet read, by name
 	problems         *inifile.Problems
+	unset            []string // optional settings that are present without a value
 	insecureLoopback bool
 }
 
@@ -104,9 +111,7 @@
 		}
 	})
 	if !p.insecureLoopback || p.sections["tls"] != nil {
-		p.readSection("tls", func(sec *inifile.Section) {
-			s.TLSCert, s.TLSKey, s.TLSCA = sec.Text("cert"), sec.Text("key"), sec.Text("ca")
-		})
+		p.readSection("tls", func(sec *inifile.Section) { s.readTLS(sec) })
 	}
 	p.readSection("operator", func(sec *inifile.Section) {
 		hash, err := hex.DecodeString(sec.Text("token_sha256"))
@@ -118,6 +123,14 @@
 	return s
 }
 
+// readTLS reads the files of TLS. With insecure_loopback they are optional, but only together.
+func (s *Settings) readTLS(sec *inifile.Section) {
+	if s.InsecureLoopback && sec.TextOr("cert", "")+sec.TextOr("key", "")+sec.TextOr("ca", "") == "" {
+		return
+	}
+	s.TLSCert, s.TLSKey, s.TLSCA = sec.Text("cert"), sec.Text("key"), sec.Text("ca")
+}
+
 // readSection passes a required section to read, and removes it from p.sections
 // so that it does not count as unknown.
 func (p *parser) readSection(name string, read func(*inifile.Section)) {
@@ -128,6 +141,9 @@
 	}
 	read(sec)
 	sec.ReportUnknownKeys()
+	for _, key := range sec.Unset() {
+		p.unset = append(p.unset, "["+name+"] "+key)
+	}
 	delete(p.sections, name)
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"cardamomhatch/internal/inifile"
@@ -27,6 +28,10 @@
 
 	Terms  Terms
 	Limits Limits
+
+	// Unset lists the optional settings that are present without a value and count as not
+	// set, as "[section] key", separated by commas.
+	Unset string
 }
 
 // Limits holds what the host has for this process and for what others send to it. Zero means
@@ -69,6 +74,7 @@
 	p := newParser(file, data)
 	s := p.readSidecar()
 	p.reportUnknownSections()
+	s.Unset = strings.Join(p.unset, ", ")
 	return s, p.problems.Err()
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -122,6 +122,7 @@
 	Directory       Directory
 	Bounds          Bounds
 	HostLimits      intake.Host // what the host has; zero values stand for the smallest host
+	UnsetSettings   string      // optional settings that are present without a value, for the log
 	Log             *eventlog.Log
 	Metrics         metrics.Registry
 	// Announcements returns the handler for announcements of the upstream.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -202,7 +202,7 @@
 	n.startLoop(n.checkCold)
 	n.startLoop(n.trimPools)
 	n.cfg.Log.Write(eventlog.Lifecycle, "started", "incarnation", uint64(n.cfg.Self.Node.Incarnation),
-		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service)
+		"data_centre", n.cfg.Self.DataCentre, "service", n.cfg.Self.Service, "unset_settings", n.cfg.UnsetSettings)
 }
 
 // serve starts an HTTP server on the listener, unless the listener is nil. Its clients share
