Let reads that a stopping node accepts end before its exit

Cause: such reads are accepted if their expected time fits before the exit, but nothing holds them to it. The upstream got the time until the caller's deadline. Without recent reads of the route, the target latency stood for the expected time, although it is a goal and no bound.

Change: during a stop, an upstream gets no more time than until 0.2 s before the exit, unless the request's limit ends before the exit anyway, so it answers while the caller is still connected. This is applied where an attempt is made, so it also covers repeats and requests whose body took long. Without recent reads, half of the limit is expected at least. A read whose body ends in the last 0.2 s is refused.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -23,7 +23,8 @@
 	// gossipDelay is the time in which the announcement reaches all peers.
 	gossipDelay = 300 * time.Millisecond
 	// NestedMargin is the least time between the expected end of a call of the local upstream
-	// and the exit.
+	// and the exit. The upstream that runs a request whose time limit lies beyond the exit is
+	// given no more time than leaves this margin for its answer.
 	NestedMargin = 200 * time.Millisecond
 )
 
@@ -50,7 +51,8 @@
 // Accepts reports whether a request that has just arrived from a caller is accepted. The caller of a request
 // that is not idempotent may not send it again once it has been aborted, so such a request
 // must be certain to end in time, whoever sent it. For a call of the local upstream that is
-// idempotent, the expected time decides, since a refusal costs as much as an aborted call.
+// idempotent, the expected time decides, since a refusal costs as much as an aborted call; what
+// takes longer is ended by GrantedTime.
 func Accepts(p Progress, r Request) bool {
 	switch {
 	case p.Left <= 0:
@@ -76,5 +78,15 @@
 // Forwards reports whether a request that was accepted and whose body has been read since is
 // sent to an upstream: a caller may take seconds to send a body.
 func Forwards(p Progress, r Request) bool {
-	return p.Elapsed <= NoticeTime || r.Idempotent || r.endsInTime(p)
+	return p.Elapsed <= NoticeTime || r.endsInTime(p) || r.Idempotent && p.Left > NestedMargin
+}
+
+// GrantedTime returns the time that the upstream is given for a request with the given limit. A
+// request that takes longer than expected then ends with the upstream's answer, not with an aborted
+// connection at the exit.
+func GrantedTime(p Progress, limit time.Duration) time.Duration {
+	if limit <= p.Left {
+		return limit
+	}
+	return max(p.Left-NestedMargin, 0)
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -44,6 +44,29 @@
 	}
 }
 
+// Replays reads without a key that arrive every 10 ms of a shutdown and take longer than the
+// recent ones of their route. An upstream works until the time that it is given at most, so none
+// may be given time beyond the exit.
+func TestNoReadIsInFlightAtTheExit(t *testing.T) {
+	const exit = 5100 * ms
+	for _, expected := range []time.Duration{0, 100 * ms, 800 * ms} {
+		for _, work := range []time.Duration{900 * ms, 2 * time.Second, 4 * time.Second} {
+			for _, limit := range []time.Duration{400 * ms, 2980 * ms, 4980 * ms} {
+				for arrival := time.Duration(0); arrival < exit; arrival += 10 * ms {
+					p := Progress{Elapsed: arrival, Left: exit - arrival}
+					r := Request{Limit: limit, Expected: expected, Idempotent: true, Nested: true}
+					if !Accepts(p, r) {
+						continue
+					}
+					if end := arrival + min(work, GrantedTime(p, limit)); end > exit {
+						t.Errorf("read with limit %v, work %v and expected work %v accepted at %v ends at %v, the exit is at %v", limit, work, expected, arrival, end, exit)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Once the time for requests in flight is over, no request may be accepted, also early in a
 // shutdown that has little time.
 func TestNothingIsAcceptedAfterTheEnd(t *testing.T) {
@@ -85,6 +108,8 @@
 		{3 * time.Second, order, true},
 		{3200 * ms, order, false},
 		{3200 * ms, Request{Limit: 2 * time.Second, Idempotent: true}, true},
+		{5000 * ms, Request{Limit: 2 * time.Second, Idempotent: true}, false},
+		{5000 * ms, Request{Limit: 50 * ms, Idempotent: true}, true},
 	} {
 		if got := Forwards(Progress{Elapsed: test.elapsed, Left: 5100*ms - test.elapsed}, test.request); got != test.want {
 			t.Errorf("%v after the start, %+v is passed on: %v, want %v", test.elapsed, test.request, got, test.want)
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -178,7 +178,7 @@
 // that did not reach an upstream does not count against the retry budget.
 func (c *call) shouldRetry(a *attempt) bool {
 	r := a.refusal
-	if c.context().Err() != nil || c.stream || c.deadline-c.node.now() < minRemaining {
+	if c.context().Err() != nil || c.stream || c.remaining() < minRemaining {
 		return false
 	}
 	switch r.Reason {
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -29,6 +29,9 @@
 	// defaultTimeout is the time limit of a request for which neither the caller nor the
 	// route sets a shorter one.
 	defaultTimeout = 30 * time.Second
+	// unknownDurationShare is the fraction of its time limit that a nested call is expected to
+	// take, at least, if its route has no recent calls.
+	unknownDurationShare = 0.5
 	// queueWaitShare is the fraction of the route's target latency within which a request
 	// must start at an upstream after its arrival at the entry node. It is small so that
 	// a request is refused early. If the route declares no target latency, the remaining
@@ -38,9 +41,6 @@
 	// wait in the queue of one node. It is larger than queueWaitShare because refusing a
 	// nested call wastes the work already done for the request that made the call.
 	nestedQueueWaitShare = 0.6
-	// unknownDurationShare is the fraction of its time limit that a nested call is expected to
-	// take if its route has no target latency and no recent calls.
-	unknownDurationShare = 0.5
 	// timeoutMargin is subtracted from the time limit of a request, so that the response
 	// of this node reaches the caller before the caller times out.
 	timeoutMargin = 20 * time.Millisecond
@@ -129,7 +129,8 @@
 }
 
 // stopRequest describes the request to the decision on what a stopping node accepts. Calls of a
-// route without recent ones are expected to take its target latency.
+// route without recent ones may take much longer than its target latency, which is a goal and no
+// bound.
 func (c *call) stopRequest() shutdown.Request {
 	n := c.node
 	now := n.now()
@@ -141,14 +142,20 @@
 	r.Expected = n.nestedDurations.Longest(now, c.route.Name)
 	n.mu.Unlock()
 	if r.Expected == 0 {
-		r.Expected = c.route.TargetLatency
-	}
-	if r.Expected == 0 {
-		r.Expected = time.Duration(unknownDurationShare * float64(r.Limit))
+		r.Expected = max(c.route.TargetLatency, time.Duration(unknownDurationShare*float64(r.Limit)))
 	}
 	return r
 }
 
+// remaining returns the time left for another attempt.
+func (c *call) remaining() time.Duration {
+	left := c.deadline - c.node.now()
+	if p, ok := c.node.stopProgress(); ok {
+		left = shutdown.GrantedTime(p, left)
+	}
+	return left
+}
+
 // identify looks up the workspace that holds the caller's key. Keys are not forwarded to
 // upstreams, so an upstream makes its calls without one, on routes that are AuthExempt.
 // Every request without a key on such a route therefore counts as a call made by the local
@@ -319,7 +326,7 @@
 
 // hop returns the metadata that is sent with the request to the target node.
 func (c *call) hop(target mesh.Member) hop {
-	remaining := max(c.deadline-c.node.now(), time.Millisecond)
+	remaining := max(c.remaining(), time.Millisecond)
 	h := hop{
 		Target: target.Node, Service: c.service, Caller: c.node.cfg.Self.Service, Route: c.route.Name, Level: c.level, Weight: c.weight, Nested: c.nested,
 		WantsCapacity: c.wantsCapacity,
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -115,7 +116,7 @@
 // A call of the local upstream that its service answers slowly was accepted shortly before the
 // exit, which aborted it. What such calls took lately must decide, not the target of the route.
 func TestSlowCallsLateInAStop(t *testing.T) {
-	const left = 1300 * time.Millisecond // enough for a call of unknown duration, which may take two seconds
+	const left = 1300 * time.Millisecond // less than the timeout of the route, which is two seconds
 	for _, test := range []struct {
 		work time.Duration // of an earlier call
 		want int
@@ -136,6 +137,33 @@
 	}
 }
 
+// Reads without a key were accepted late in a stop if the target latency of their route, or what
+// recent ones took, fitted before the exit. Those that took longer ran, and were aborted without
+// an answer. The upstream must be told to end before the exit, so that each gets its answer.
+func TestReadsLateInAStopAreAnswered(t *testing.T) {
+	const left = 1300 * time.Millisecond // less than the timeout of the route, which is two seconds
+	untilTold := func(_ *host, w http.ResponseWriter, r *http.Request) {
+		remaining, _ := strconv.Atoi(r.Header.Get(dialect.Remaining))
+		time.Sleep(time.Duration(remaining) * time.Millisecond)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
+	for _, recent := range []bool{false, true} {
+		_, a, _, c := startSmallMesh(t)
+		if recent {
+			if got := a.call("recent", "GET", "/feed/1", "", ""); got.status != http.StatusOK {
+				t.Fatalf("a call before the stop got status %d, error %v", got.status, got.err)
+			}
+		}
+		c.setHandler(untilTold)
+		a.setStop(shutdown.RefusalAfter+time.Second, left)
+		sent := time.Now()
+		got := a.call("late", "GET", "/feed/1", "", "")
+		if took := time.Since(sent); took > left || got.err != nil {
+			t.Errorf("recent calls %v: answered after %v with error %v, but the node exits after %v", recent, took, got.err, left)
+		}
+	}
+}
+
 // An order whose caller sends its body slowly was accepted before the stop, but its body ends
 // when too little time is left. It must be refused, not passed on and aborted.
 func TestOrderWithASlowBodyDuringAStop(t *testing.T) {
