Notice that a caller has left while its order waits at the serving node

Cause: the serving node let a forwarded request wait in its queue with the body unread. net/http watches a connection for its end only once the body has been read, so the context of the request did not end when the entry node closed the connection. Reads, which have no body, left the queue at once.

Change: before a forwarded request waits, its body is read into memory, if the length is known, it is no longer than what entry nodes buffer, and the budget for clients has plenty left.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -70,6 +71,26 @@
 	}
 }
 
+// bufferBody reads the body of a request that a peer has forwarded, before the request waits:
+// net/http notices the end of a connection only once the body has been read. A body that the peer
+// has not buffered either, or for which there is little memory, stays unread. An error means that
+// the peer has gone or does not send the body by the deadline.
+func (req *servedRequest) bufferBody(deadline time.Time) error {
+	length := req.request.Body.Length
+	if req.conn == nil || length <= 0 || length > maxBufferedBody || !req.conn.growIfPlenty(int(length)) {
+		return nil
+	}
+	// An error of a deadline means that the connection has ended, which the read reports.
+	_ = req.conn.SetReadDeadline(deadline)
+	buffer := make([]byte, length)
+	if _, err := io.ReadFull(req.request.Body.Source, buffer); err != nil {
+		return errors.Wrap(err, "read the forwarded request body")
+	}
+	_ = req.conn.SetReadDeadline(time.Now().Add(defaultTimeout + bodySlack))
+	req.request.Body.Source, req.conn = bytes.NewReader(buffer), nil
+	return nil
+}
+
 // growBody returns a larger buffer with the same content, of at most the given size.
 func (c *call) growBody(buffer []byte, limit int64) ([]byte, error) {
 	size := int(min(int64(bodyGrowth*cap(buffer)), limit))
--- /dev/null
+++ b/internal/sidecar/gone_test.go
@@ -0,0 +1,65 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cardamomhatch/internal/mesh"
+)
+
+// An order that another node had forwarded waited in the queue of the serving node with its body
+// unread, so that the end of its caller's connection was not noticed: it ran after the caller had
+// left. Short bodies and such that are longer than a read buffer must not differ.
+func TestOrderOfACallerThatLeftDoesNotRun(t *testing.T) {
+	for _, size := range []int{1, 100 << 10} {
+		s := newStore(shopDeclaration)
+		web, stock := startHost(t, s, "a", "web", 1), startHost(t, s, "c", "stock", 8)
+		waitForServices(t, map[mesh.Service]int{"web": 1, "stock": 1}, web, stock)
+		release := make(chan struct{})
+		web.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
+			<-release
+			fmt.Fprint(w, "done")
+		})
+		first := make(chan response, 1)
+		go func() { first <- stock.call("first", "POST", "/notify/1", "", "x") }()
+		eventually(t, "the upstream runs the first order", func() bool { return web.runCount("first") == 1 })
+
+		ctx, cancel := context.WithCancel(context.Background())
+		left := make(chan error, 1)
+		go func() {
+			r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+stock.callerAddress+"/notify/1", strings.NewReader(strings.Repeat("x", size)))
+			r.Host = "shop"
+			r.Header.Set(dialect.RequestID, "left")
+			r.Header.Set(dialect.Remaining, "3000")
+			_, err := http.DefaultClient.Do(r)
+			left <- err
+		}()
+		queued := func() int {
+			web.node.mu.Lock()
+			defer web.node.mu.Unlock()
+			return web.node.gate.Queued()
+		}
+		eventually(t, "the second order waits at the serving node", func() bool { return queued() == 1 })
+		cancel()
+		if err := <-left; !errors.Is(err, context.Canceled) {
+			t.Fatalf("the second order ended with error %v, want that its caller left", err)
+		}
+		time.Sleep(200 * time.Millisecond) // for the end of two connections on loopback
+		if n := queued(); n != 0 {
+			t.Errorf("body of %d bytes: %d orders wait after their caller left", size, n)
+		}
+		close(release)
+		if got := <-first; got.status != http.StatusOK {
+			t.Errorf("the first order got status %d, error %v", got.status, got.err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if runs := web.runCount("left"); runs != 0 {
+			t.Errorf("body of %d bytes: the order ran %d times after its caller left", size, runs)
+		}
+	}
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -38,6 +38,7 @@
 	hop
 	id      string // request ID set by the caller
 	request exchange.Request
+	conn    *clientConn // that carries a body that has not been read; nil if there is none
 }
 
 // upstreamResult is the result of a request at the local upstream.
@@ -89,14 +90,18 @@
 	n.mu.Unlock()
 	timer := time.NewTimer(req.MaxWait)
 	defer timer.Stop()
-	select {
-	case decision := <-decisions:
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return n.slotRefusal(decision.Reason), decision.Verdict == slots.Run
-	case <-timer.C:
-	case <-ctx.Done():
+	if err := req.bufferBody(n.started.Add(deadline)); err != nil {
 		reason = outcome.CallerGone
+	} else {
+		select {
+		case decision := <-decisions:
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.slotRefusal(decision.Reason), decision.Verdict == slots.Run
+		case <-timer.C:
+		case <-ctx.Done():
+			reason = outcome.CallerGone
+		}
 	}
 	n.mu.Lock()
 	delete(n.slotWaiters, id)
@@ -401,6 +406,9 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: exchange.Body{Source: r.Body, Length: r.ContentLength},
 	}}
+	if r.ContentLength != 0 {
+		req.conn = clientConnOf(r)
+	}
 	if p, ok := n.stopProgress(); ok && !shutdown.AcceptsFromPeer(p, shutdown.Request{Limit: h.Remaining, Idempotent: !h.NonIdempotent}) {
 		n.writePeerRefusal(w, &h, n.stopRefusal(p))
 		return
