Count only nodes that a peer knows for limits and retry budgets

Cause: the store keeps the records of replaced machines. A node that starts lists them, and for 60 s it counted them as nodes among which limits are divided, although no peer knew them. With 10 instead of 7 nodes it split the limit among holders and published no demand, while the others split it by demand, so that the shares added up to far more than one. The log showed "nodes listed", nodes 10, at the restarted nodes only.

Change: one rule decides who counts, for limits and for the retry budget. A node that only the store lists no longer counts once a peer has shown, by an equal hash or in its versions, that it does not know it, and 2 s have passed, within which nodes that start together get to know each other. A node without contact to any peer still counts all that the store lists.

--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -30,12 +30,16 @@
 	// versions that nodes compare. It is well below removeAfter, so that nodes that remove it
 	// at different times do not get it back from each other.
 	unlistedAfter = 30 * time.Second
+	// introductionTime is how long a node that only the store lists counts even if peers do not
+	// know it: nodes that start together are not known to each other at first.
+	introductionTime = 2 * time.Second
 )
 
 // entry is the record of another node and what is known of its liveness.
 type entry struct {
 	record    Record
 	confirmed bool          // a peer knows the node, too, or the node itself has sent the record
+	unknown   bool          // not confirmed, and a peer has shown that it does not know the node
 	silent    bool          // the node is taken for dead or cut off
 	since     time.Duration // when the record or the silence became known
 	hash      uint64        // share in the hash of its bucket; zero if it is not listed
@@ -57,6 +61,22 @@
 	return e.confirmed && !e.record.Left && !(e.silent && now-e.since > unlistedAfter)
 }
 
+// counts reports whether limits and budgets of the fleet are divided among this node and others,
+// although it may be silent. The store keeps the records of nodes that have gone, so a node that
+// it lists and peers do not know has gone. Without contact to any peer, all that it lists count.
+func (e *entry) counts(now time.Duration) bool {
+	return !e.record.Left && !(e.unknown && now-e.since > introductionTime)
+}
+
+// markUnknown records that a peer knows none of the unconfirmed nodes for which lacks returns true.
+func (r *Roster) markUnknown(lacks func(host mesh.Host) bool) {
+	for host, e := range r.entries {
+		if !e.confirmed && !e.unknown && lacks(host) {
+			e.unknown = true
+		}
+	}
+}
+
 // silence returns for how long the node has been silent.
 func (e *entry) silence(now time.Duration) time.Duration {
 	switch {
--- a/internal/roster/messages.go
+++ b/internal/roster/messages.go
@@ -146,7 +146,11 @@
 		r.answerListingDigest(now, d)
 		return
 	}
-	if d.Root != 0 && d.Root != r.root() {
+	switch d.Root {
+	case 0:
+	case r.root():
+		r.markUnknown(func(mesh.Host) bool { return true })
+	default:
 		r.send(d.From, Summary{From: r.self.Member, Buckets: slices.Clone(r.buckets[:])})
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -240,7 +240,7 @@
 	if old.record.Claim != rec.Claim || !old.confirmed {
 		e.patience = 0
 	}
-	e.record, e.confirmed, e.silent, e.since, e.failures = rec, true, false, now, 0
+	e.record, e.confirmed, e.unknown, e.silent, e.since, e.failures = rec, true, false, false, now, 0
 	r.rehash(e, now)
 	if old.record.Member != rec.Member || old.silent || old.record.Left != rec.Left || !old.confirmed {
 		r.partnersKnown = false
@@ -276,11 +276,13 @@
 	return c
 }
 
-// ForEach calls f for every other known node, including those that have left. silent is
-// the time for which the node has been silent.
-func (r *Roster) ForEach(now time.Duration, f func(rec *Record, silent time.Duration)) {
+// ForEachCounted calls f for every other node that counts, also for silent ones: a node that is
+// cut off goes on using its share of the limits. silent is the time for which it has been silent.
+func (r *Roster) ForEachCounted(now time.Duration, f func(rec *Record, silent time.Duration)) {
 	for _, e := range r.entries {
-		f(&e.record, e.silence(now))
+		if e.counts(now) {
+			f(&e.record, e.silence(now))
+		}
 	}
 }
 
@@ -293,12 +295,12 @@
 	return e.record.Member, true
 }
 
-// Len returns the number of nodes that have not left, including the node itself. Nodes that
-// have been silent for longer than forgottenAfter do not count.
+// Len returns the number of nodes that count, including the node itself, without those that
+// have been silent for longer than forgottenAfter.
 func (r *Roster) Len(now time.Duration) int {
 	n := 1
 	for _, e := range r.entries {
-		if !e.record.Left && e.silence(now) <= forgottenAfter {
+		if e.counts(now) && e.silence(now) <= forgottenAfter {
 			n++
 		}
 	}
--- a/internal/roster/scale_test.go
+++ b/internal/roster/scale_test.go
@@ -414,3 +414,69 @@
 		}
 	}
 }
+
+// The store keeps the records of machines that were replaced. A node that started again listed
+// them and counted them as nodes of the fleet for a minute, so that it split limits among more
+// nodes than the others did, and both together admitted more than the limit.
+func TestReplacedNodesDoNotCount(t *testing.T) {
+	for _, nodes := range []int{7, 60} {
+		f := newFleet(nodes, 3)
+		f.start()
+		var replaced []Record
+		for i := range 3 {
+			gone := member(900+i, 1)
+			gone.DataCentre = dataCentre(i, 3)
+			replaced = append(replaced, Record{Member: gone, Claim: 1, Serial: 5, Phase: Ready})
+			f.down[gone.Node.Host] = true
+		}
+		counted := func(r *Roster) int {
+			n := 1
+			r.ForEachCounted(f.now, func(*Record, time.Duration) { n++ })
+			return n
+		}
+		list := func(r *Roster) {
+			for _, other := range f.rosters {
+				r.Merge(f.now, other.Self())
+			}
+			for _, rec := range replaced {
+				r.Merge(f.now, rec)
+			}
+		}
+		again := member(2, 2)
+		again.DataCentre = dataCentre(2, 3)
+		r := New(again, 1_800_000_000_001, 77)
+		f.rosters[again.Node.Host] = r
+		list(r)
+		if got := counted(r); got != nodes+3 {
+			t.Errorf("%d nodes: %d count before any contact, want all %d that the store lists", nodes, got, nodes+3)
+		}
+		f.run(introductionTime + 500*time.Millisecond)
+		if got := counted(r); got != nodes {
+			t.Errorf("%d nodes: %d count for a limit at the node that started again, want %d", nodes, got, nodes)
+		}
+		if got := r.Len(f.now); got != nodes {
+			t.Errorf("%d nodes: %d count for a budget at the node that started again, want %d", nodes, got, nodes)
+		}
+	}
+}
+
+// A node that reaches the store but no other node cannot know who has gone. It must keep counting
+// all that the store lists, since they use their shares of the limits.
+func TestAllListedNodesCountWithoutContact(t *testing.T) {
+	f := newFleet(7, 3)
+	f.start()
+	alone := member(2, 2)
+	alone.DataCentre = dataCentre(2, 3)
+	r := New(alone, 1_800_000_000_001, 77)
+	for _, other := range f.rosters {
+		r.Merge(f.now, other.Self())
+	}
+	for end := f.now + 20*time.Second; f.now < end; f.now += 100 * time.Millisecond {
+		r.Tick(f.now)
+	}
+	n := 1
+	r.ForEachCounted(f.now, func(*Record, time.Duration) { n++ })
+	if n != 7 {
+		t.Errorf("%d nodes count, want all 7 that the store lists", n)
+	}
+}
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cardamomhatch/internal/mesh"
@@ -107,6 +108,10 @@
 			differ = append(differ, uint8(i))
 		}
 	}
+	r.markUnknown(func(host mesh.Host) bool {
+		b := bucketOf(host)
+		return b < len(m.Buckets) && m.Buckets[b] == r.buckets[b]
+	})
 	if len(differ) > 0 {
 		r.send(m.From, Versions{From: r.self.Member, Buckets: differ, Entries: r.versions(now, differ)})
 	}
@@ -127,6 +132,10 @@
 			r.learnSilence(now, s)
 		}
 	}
+	r.markUnknown(func(host mesh.Host) bool {
+		_, listed := theirs[host]
+		return !listed && slices.Contains(m.Buckets, uint8(bucketOf(host)))
+	})
 	var news News
 	for _, s := range r.versions(now, m.Buckets) {
 		if theirs, ok := theirs[s.Host]; ok && !theirs.olderThan(s) {
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -83,10 +83,8 @@
 	}
 	n.fleetUpdatedAt = now
 	var fleet []ratelimit.Node
-	n.roster.ForEach(now, func(rec *roster.Record, silent time.Duration) {
-		if !rec.Left {
-			fleet = append(fleet, ratelimit.Node{Member: rec.Member, Silent: silent, Demand: rec.Demand})
-		}
+	n.roster.ForEachCounted(now, func(rec *roster.Record, silent time.Duration) {
+		fleet = append(fleet, ratelimit.Node{Member: rec.Member, Silent: silent, Demand: rec.Demand})
 	})
 	var demandKnownToPeers map[mesh.Workspace]float64
 	if len(n.recentDemands) == demandSpreadRounds {
