Tell the end of an answer without a length from a broken connection

Cause: the body of such an answer ended with the end of the stream. The kernel reports a reset once, so when the writer of the upload got it, the reader saw a plain end. And an upstream that closes while the upload is on its way sends its FIN first; the reset follows when the upload arrives.

Change: at the end of the stream, the client waits for the writer of the request, then until the server has acknowledged what was written, and reports a failed write, a reset or a timeout as a broken answer.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -69,9 +69,13 @@
 	// stopWatch ends the watch that closes the connection when the context ends. It returns
 	// false if the context has ended already.
 	stopWatch   func() bool
-	writeResult chan error // receives the result of writing the request body; nil if it is not written concurrently
+	writeResult chan error // receives the result of writing the request body; nil if it is not written concurrently, or the result is known
 	complete    bool       // the body was read to its end
 	noReuse     bool       // the connection must not be reused
+	// endsWithConnection states that the body ends where the server closes the connection, so
+	// that only its clean end tells a complete body from a truncated one.
+	endsWithConnection bool
+	endErr             error // returned by all further reads
 }
 
 // Do sends a request and returns its response once the header has been read. If ctx
@@ -205,6 +209,7 @@
 		}
 		if r.Matches == nil || r.Matches(parsed.Header) {
 			resp.Response = parsed
+			resp.endsWithConnection = parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0 && parsed.Body != http.NoBody
 			return nil
 		}
 		unmatched++
@@ -219,13 +224,37 @@
 
 // Read reads the body and records whether its end was reached.
 func (resp *Response) Read(p []byte) (int, error) {
+	if resp.endErr != nil {
+		return 0, resp.endErr
+	}
 	n, err := resp.Body.Read(p)
+	if err == io.EOF && resp.endsWithConnection && !resp.complete {
+		if endErr := resp.checkConnectionEnd(); endErr != nil {
+			resp.endErr = errors.Wrap(endErr, "the connection broke before the end of the response")
+			return n, resp.endErr
+		}
+	}
 	if err == io.EOF {
 		resp.complete = true
 	}
 	return n, err
 }
 
+// checkConnectionEnd returns an error if the server did not close the connection cleanly. The end
+// of the stream alone does not show this: the kernel reports a reset once only, perhaps to the
+// writer of the request body, and a server that closes the connection before the whole request
+// has arrived resets it afterwards.
+func (resp *Response) checkConnectionEnd() error {
+	if resp.writeResult != nil {
+		err := <-resp.writeResult // the deadline of the connection bounds the wait
+		resp.writeResult = nil
+		if err != nil {
+			return errors.Wrap(err, "write the request body")
+		}
+	}
+	return awaitReceipt(resp.conn.Conn)
+}
+
 // Abort ends the exchange and closes the connection.
 func (resp *Response) Abort() {
 	resp.DoNotReuse()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -41,6 +42,9 @@
 	// userTimeout is how long sent bytes may remain unacknowledged before the connection
 	// ends.
 	userTimeout = 2 * time.Second
+	// receiptPollInterval is the time between two questions whether the server has acknowledged
+	// all bytes. userTimeout ends a connection on which it does not.
+	receiptPollInterval = 2 * time.Millisecond
 	// expiryMargin is subtracted from the idle timeout that the server states,
 	// so that no request is sent while the server is closing the connection.
 	expiryMargin = time.Second
@@ -248,6 +252,36 @@
 	p.closeExpired()
 }
 
+// awaitReceipt waits until the server has acknowledged all bytes that were written to a connection.
+// It returns an error if the connection was reset, or broke in another way.
+func awaitReceipt(c net.Conn) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	for {
+		unacknowledged, code := 0, 0
+		err := raw.Control(func(fd uintptr) {
+			// Errors mean that the kernel cannot tell.
+			unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+			code, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		})
+		switch {
+		case err != nil: // the connection was closed, for example because the caller has gone
+			return err
+		case code != 0:
+			return syscall.Errno(code)
+		case unacknowledged == 0:
+			return nil
+		}
+		time.Sleep(receiptPollInterval)
+	}
+}
+
 // reusable reports whether the server has neither closed the idle connection nor sent
 // bytes on it. Such bytes belong to no request.
 func (c *conn) reusable() bool {
--- /dev/null
+++ b/internal/sidecar/broken_test.go
@@ -0,0 +1,81 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// answerRaw returns a handler of an upstream that writes the given bytes at once, whatever is left
+// of the request, and ends the connection, with a reset if reset is set.
+func answerRaw(answer string, reset bool) func(*host, http.ResponseWriter, *http.Request) {
+	return func(_ *host, w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, strings.ReplaceAll(answer, "ID", r.Header.Get(dialect.RequestID)))
+		if reset {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// upload sends a body of unknown length to the node and returns the response.
+func (h *host) upload(id string, size int) response {
+	r, err := http.NewRequest("POST", "http://"+h.callerAddress+"/order/1", io.MultiReader(bytes.NewReader(make([]byte, size))))
+	if err != nil {
+		return response{err: err}
+	}
+	r.Host = "shop"
+	r.Header.Set(dialect.RequestID, id)
+	r.Header.Set(dialect.Remaining, "3000")
+	r.Header.Set(dialect.Key, "k1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{resp.StatusCode, string(data), resp.Header, resp.Close, err}
+}
+
+// An answer of an upstream that is broken, or that breaks off while an upload is still written,
+// must not reach a caller as a complete one: neither from the node beside the upstream nor over
+// another node.
+func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
+	const body = "the part that has arrived"
+	withoutLength := dialect.RequestID + ": ID\r\n\r\n" + body
+	for name, test := range map[string]struct {
+		answer string
+		reset  bool
+	}{
+		"closed with the upload unread": {"HTTP/1.1 200 OK\r\n" + withoutLength, false},
+		"reset":                         {"HTTP/1.1 200 OK\r\n" + withoutLength, true},
+		"404 and reset":                 {"HTTP/1.1 404 Not Found\r\n" + withoutLength, true},
+		"reset after an interim answer": {"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n" + withoutLength, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, a, b, c := startSmallMesh(t)
+			a.setHandler(answerRaw(test.answer, test.reset))
+			b.setHandler(answerRaw(test.answer, test.reset))
+			whole := 0
+			for i := range 12 {
+				for _, entry := range []*host{a, c} {
+					got := entry.upload(fmt.Sprint("u", i), 720_000)
+					if got.err == nil && strings.Contains(got.body, body) {
+						whole++
+					}
+				}
+			}
+			if whole > 0 {
+				t.Errorf("%d of 24 broken answers reached a caller as complete ones", whole)
+			}
+		})
+	}
+}
