Refuse answers whose status is no status

Cause: net/http takes any three characters that are a number for a status. The client for upstreams, peers and the store took all below 200 for interim answers, skipped them and took what followed for the answer; clients on net/http's transport passed 000 on.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -201,6 +201,9 @@
 		head.begin()
 		parsed, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
 		head.end()
+		if err == nil {
+			err = CheckHead(parsed)
+		}
 		if err != nil {
 			return errors.Wrap(err, "read the answer")
 		}
--- /dev/null
+++ b/internal/exchange/head.go
@@ -0,0 +1,40 @@
+package exchange
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckHead returns an error if the head of a parsed response is malformed. The parser of net/http
+// takes any three characters that are a number for a status.
+func CheckHead(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return errors.Errorf("malformed response: status %q", r.Status)
+	}
+	return nil
+}
+
+// strictTransport fails requests whose responses have a malformed head.
+type strictTransport struct{ http.RoundTripper }
+
+// Strict returns a RoundTripper that also applies CheckHead to each response.
+func Strict(t http.RoundTripper) http.RoundTripper { return strictTransport{t} }
+
+// RoundTrip implements http.RoundTripper.
+func (t strictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/outcome"
 )
 
@@ -193,7 +194,7 @@
 	if name := c.runner.cfg.MarkerHeader; name != "" && path == c.route.Path {
 		request.Header.Set(name, c.attemptMarker())
 	}
-	response, err := c.runner.cfg.Transport.RoundTrip(request)
+	response, err := exchange.Strict(c.runner.cfg.Transport).RoundTrip(request)
 	if err != nil {
 		return attemptResult{kind: failed}, nil
 	}
--- a/internal/logservice/http.go
+++ b/internal/logservice/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cardamomhatch/internal/exchange"
 )
 
 const (
@@ -45,7 +47,7 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	}
-	return &HTTPClient{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport}}
+	return &HTTPClient{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: exchange.Strict(transport)}}
 }
 
 func (c *HTTPClient) recordsURL(stream string) string {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/engine"
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/peer"
@@ -128,9 +129,10 @@
 	c.setCancel(cancel)
 	resp, err := a.transport.RoundTrip(request)
 	c.clearCancel()
-	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
-		resp.Body.Close()
-		err = errProtocolSwitched
+	if err == nil {
+		if err = checkHead(resp); err != nil {
+			resp.Body.Close()
+		}
 	}
 	if err != nil {
 		ctxErr := ctx.Err() // read before cancel, which would set it
@@ -147,6 +149,14 @@
 	c.node.Step(c.responseEvent(a, resp))
 }
 
+// checkHead returns an error if the head of a response shows that it is no answer to the request.
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return errProtocolSwitched
+	}
+	return exchange.CheckHead(resp)
+}
+
 // errProtocolSwitched fails an attempt that was answered with 101 Switching
 // Protocols: after a switch the node cannot tell whether the response is
 // complete.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/timeline"
 )
@@ -149,6 +150,9 @@
 		return nil, errors.Wrapf(err, "request to node at %s", c.URL)
 	}
 	defer resp.Body.Close()
+	if err := exchange.CheckHead(resp); err != nil {
+		return nil, errors.Wrapf(err, "request to node at %s", c.URL)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read response of node at %s", c.URL)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -414,6 +414,9 @@
 		return conn, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err == nil {
+		err = exchange.CheckHead(resp)
+	}
 	if err != nil {
 		return conn, err
 	}
