Refuse answers with a field name that is no token

Cause: net/textproto refuses names with control bytes but keeps one with a blank as it is. Such a line was passed on, and "Content-Length : 5" stated no length, so that all bytes up to the end of the connection were the body.

Change: the check behind the parser also wants each name to be a token, in all heads and for all clients, interim answers included. golang.org/x/net/http/httpguts, which net/http itself uses, decides what a token is.

Control bytes, NUL, a tab, an empty name and a line without a colon were refused already and are tested now.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -12,11 +13,17 @@
 )
 
 // CheckHead returns an error if the head of a parsed response is malformed. The parser of net/http
-// takes any three characters that are a number for a status.
+// lets such heads through: it takes any three characters that are a number for a status, and keeps
+// a field name with a blank as it is, so that "Content-Length : 5" states no length.
 func CheckHead(r *http.Response) error {
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return errors.Errorf("malformed response: status %q", r.Status)
 	}
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("malformed response: name of a header field %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -13,12 +13,20 @@
 
 // malformedHeads holds heads that are no answer, by what is wrong with them.
 var malformedHeads = map[string]string{
-	"status 000":                  "HTTP/1.1 000 Broken\r\nContent-Length: 5\r\n\r\nwrong",
-	"status 000 before an answer": "HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
-	"status 099 before an answer": "HTTP/1.1 099 Broken\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
-	"status with a sign":          "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
-	"status 600":                  "HTTP/1.1 600 Broken\r\nContent-Length: 5\r\n\r\nwrong",
-	"status of two digits":        "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"status 000":                   "HTTP/1.1 000 Broken\r\nContent-Length: 5\r\n\r\nwrong",
+	"status 000 before an answer":  "HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"status 099 before an answer":  "HTTP/1.1 099 Broken\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"status with a sign":           "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"status 600":                   "HTTP/1.1 600 Broken\r\nContent-Length: 5\r\n\r\nwrong",
+	"status of two digits":         "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in a name":              "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank before the colon":       "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwrong and more",
+	"blank in the name of interim": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"control byte in a name":       "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 5\r\n\r\nwrong",
+	"NUL in a name":                "HTTP/1.1 200 OK\r\nX\x00: z\r\nContent-Length: 5\r\n\r\nwrong",
+	"tab before the colon":         "HTTP/1.1 200 OK\r\nX\t: z\r\nContent-Length: 5\r\n\r\nwrong",
+	"no name":                      "HTTP/1.1 200 OK\r\n: z\r\nContent-Length: 5\r\n\r\nwrong",
+	"no colon":                     "HTTP/1.1 200 OK\r\nXY\r\nContent-Length: 5\r\n\r\nwrong",
 }
 
 // An upstream in trouble sends a head that is no answer. It must fail the exchange as one whose
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -12,7 +12,8 @@
 // that is none or a body that is not the upstream's.
 func TestMalformedHeadsAreRefused(t *testing.T) {
 	for name, raw := range map[string]string{
-		"status 000": "HTTP/1.1 000 Broken\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 000":            "HTTP/1.1 000 Broken\r\nContent-Length: 5\r\n\r\nwrong",
+		"blank in a field name": "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 5\r\n\r\nwrong",
 	} {
 		p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -60,6 +60,7 @@
 		"404 and reset":                 {"HTTP/1.1 404 Not Found\r\n" + withoutLength, true},
 		"status 000":                    {"HTTP/1.1 000 Broken\r\nContent-Length: 25\r\n" + withoutLength, false},
 		"status 000 before an answer":   {"HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 25\r\n" + withoutLength, false},
+		"blank in a field name":         {"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 25\r\n" + withoutLength, false},
 		"reset after an interim answer": {"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n" + withoutLength, true},
 	} {
 		t.Run(name, func(t *testing.T) {
