Keep stopping in order when a second SIGTERM arrives

Cause: the first signal gave both SIGINT and SIGTERM their default effect back. That is meant for a person who presses Ctrl-C again.

Change: only SIGINT gets it back. Further SIGTERMs have no effect.

--- a/cmd/cardamomhatch/main.go
+++ b/cmd/cardamomhatch/main.go
@@ -62,7 +62,9 @@
 func main() {
 	runtime.MemProfileRate = 0 // nothing reads heap profiles, and their table takes 1.4 MB
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop) // a second signal terminates the process immediately
+	// Pressing Ctrl-C again terminates the process immediately. A further SIGTERM does not: several
+	// operations may stop the same node, and each of them sends one.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	code := execute(ctx, os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr})
 	stop()
 	os.Exit(code)
