Let a draining announcement take effect whatever its sequence

Cause: the tracker ordered all announcements of one start by their sequence.

Change: that an upstream drains takes effect if it counts as ready, so that the acknowledgement binds. A draining heartbeat that is late, after a ready one, keeps the upstream out of use until its next heartbeat.

Result: TestDrainingTakesEffectWhateverItsSequence failed before (stale, still ready) and passes.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -217,7 +217,7 @@
 // stale reports whether the announcement is older than the last one. Announcements
 // after a deregistration are stale, too, because a deregistered upstream becomes ready
 // again only by a restart. A deregistration has no sequence number, so its field is
-// ignored.
+// ignored. An announcement that the upstream drains is not stale while it counts as ready.
 func (t *Tracker) stale(a Announcement) bool {
 	if a.StartTime != 0 && a.StartTime <= t.replacedStart {
 		return true
@@ -237,6 +237,9 @@
 	if a.State == Deregistered {
 		return t.last.State == Deregistered
 	}
+	if a.State == Draining && t.last.State == Ready {
+		return false // the acknowledgement binds, and the sequence may be that of another writer
+	}
 	return a.Sequence <= t.last.Sequence || t.last.State == Deregistered
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -158,6 +158,26 @@
 	}
 }
 
+// Another writer may have announced the upstream with a high sequence. That it drains must take
+// effect all the same, since it is acknowledged and the upstream exits soon after.
+func TestDrainingTakesEffectWhateverItsSequence(t *testing.T) {
+	tracker := newTracker()
+	tracker.HandleAnnouncement(0, readyAnnouncement("a", 100, 5))
+	tracker.HandleAnnouncement(time.Second, readyAnnouncement("a", 100, 60))
+	draining := readyAnnouncement("a", 100, 7)
+	draining.State = Draining
+	if result := tracker.HandleAnnouncement(2*time.Second, draining); result.Stale || !result.Changed {
+		t.Errorf("result is %+v, want a change", result)
+	}
+	if got := tracker.Phase(2 * time.Second); got != roster.Leaving {
+		t.Errorf("phase is %d, want leaving", got)
+	}
+	late := readyAnnouncement("a", 100, 6)
+	if result := tracker.HandleAnnouncement(2100*time.Millisecond, late); !result.Stale {
+		t.Errorf("result of an earlier ready announcement is %+v, want stale", result)
+	}
+}
+
 // An upstream that was replaced at its address may have announcements in transit. They must
 // not bring it back: requests would be sent for an instance that no longer runs.
 func TestLateAnnouncementOfAReplacedUpstream(t *testing.T) {
