Refuse the queue of an upstream that leaves

Cause: whether the upstream accepts requests was checked when a request arrived, and not when it left the queue. Orders without a key may wait there for 0.6 of their time.

Change: once a leaving upstream gets no new requests, its queue is refused as not run, as for an evacuation, and a request is checked once more under the lock before it is sent.

--- a/internal/sidecar/gone_test.go
+++ b/internal/sidecar/gone_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cardamomhatch/internal/mesh"
+	"cardamomhatch/internal/upstream"
 )
 
 // An order that another node had forwarded waited in the queue of the serving node with its body
@@ -63,3 +64,40 @@
 		}
 	}
 }
+
+// An order that waited in the queue of the node beside a leaving upstream was sent to it long after
+// the departure was acknowledged, and lost when the upstream exited. It must be refused as not run
+// while another upstream can still run it.
+func TestQueuedOrderIsNotSentToALeavingUpstream(t *testing.T) {
+	s := newStore(shopDeclaration)
+	web, stock := startHost(t, s, "a", "web", 1), startHost(t, s, "c", "stock", 8)
+	waitForServices(t, map[mesh.Service]int{"web": 1, "stock": 1}, web, stock)
+	release := make(chan struct{})
+	web.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
+		<-release
+		fmt.Fprint(w, "done")
+	})
+	first, queued := make(chan response, 1), make(chan response, 1)
+	go func() { first <- stock.call("first", "GET", "/read/1", "k1", "") }()
+	eventually(t, "the upstream runs the first request", func() bool { return web.runCount("first") == 1 })
+	go func() { queued <- stock.call("queued", "POST", "/notify/1", "", "x") }() // waits for 0.6 s at most
+	eventually(t, "the order waits at the serving node", func() bool {
+		web.node.mu.Lock()
+		defer web.node.mu.Unlock()
+		return web.node.gate.Queued() == 1
+	})
+	web.node.mu.Lock()
+	web.node.tracker.HandleAnnouncement(web.node.now()-bounds.Drain/2, upstream.Announcement{ // half of the drain time ago
+		Instance: web.instance, Service: web.service, Address: web.upstreamAddress, StartTime: 1, Sequence: 1 << 20, State: upstream.Draining, Slots: 1,
+	})
+	web.node.mu.Unlock()
+	web.stopAnnouncing()
+	close(release)
+	got := <-queued
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "draining") || web.runCount("queued") > 0 {
+		t.Errorf("the order ran %d times at the leaving upstream and got status %d: %s", web.runCount("queued"), got.status, got.body)
+	}
+	if got := <-first; got.status != http.StatusOK {
+		t.Errorf("the running request got status %d, error %v", got.status, got.err)
+	}
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -155,12 +155,22 @@
 		return refusal, false
 	case n.tracker.Accepts(now):
 		return outcome.Refusal{}, true
-	case n.tracker.Phase(now) == roster.Leaving:
-		return n.refusal(outcome.NotRun, outcome.Draining, ""), false
+	}
+	if refusal, leaving := n.leavingRefusal(now); leaving {
+		return refusal, false
 	}
 	return n.refusal(outcome.NotRun, outcome.NoUpstream, "the upstream is absent"), false
 }
 
+// leavingRefusal returns the refusal of a request, also of one that was queued before, because the
+// local upstream leaves and gets no more requests; ok is false if there is none. n.mu must be held.
+func (n *Node) leavingRefusal(now time.Duration) (r outcome.Refusal, ok bool) {
+	if n.tracker.Phase(now) != roster.Leaving || n.tracker.Accepts(now) {
+		return outcome.Refusal{}, false
+	}
+	return n.refusal(outcome.NotRun, outcome.Draining, ""), true
+}
+
 // releaseSlot releases the slot of a request and dispatches queued requests.
 func (n *Node) releaseSlot(began time.Duration, complete bool) {
 	n.mu.Lock()
@@ -174,6 +184,10 @@
 // dispatchQueued delivers the decisions of the gate to queued requests. n.mu must be
 // held.
 func (n *Node) dispatchQueued(now time.Duration) {
+	if _, leaving := n.leavingRefusal(now); leaving {
+		n.deliverSlotDecisions(n.gate.Flush(outcome.Draining))
+		return
+	}
 	for {
 		decision, ok := n.gate.Next(now)
 		if !ok {
@@ -193,7 +207,11 @@
 	now := n.now()
 	remaining := max((deadline - now).Milliseconds(), 1)
 	n.mu.Lock()
-	if refusal, ok := n.evacuationRefusal(now); ok { // since the gate has let the request run
+	refusal, ok := n.evacuationRefusal(now) // since the gate has let the request run
+	if !ok {
+		refusal, ok = n.leavingRefusal(now)
+	}
+	if ok {
 		n.mu.Unlock()
 		return nil, refusal
 	}
