--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -255,7 +255,7 @@
 			return errors.Wrap(err, "write the request body")
 		}
 	}
-	return awaitReceipt(resp.conn.Conn)
+	return AwaitReceipt(resp.conn.Conn)
 }
 
 // Abort ends the exchange and closes the connection.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -252,9 +252,9 @@
 	p.closeExpired()
 }
 
-// awaitReceipt waits until the server has acknowledged all bytes that were written to a connection.
+// AwaitReceipt waits until the server has acknowledged all bytes that were written to a connection.
 // It returns an error if the connection was reset, or broke in another way.
-func awaitReceipt(c net.Conn) error {
+func AwaitReceipt(c net.Conn) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -117,6 +117,13 @@
 	return n, err
 }
 
+// finished reports whether the complete upload was read.
+func (b *attemptBody) finished() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.eof
+}
+
 // abandon ends the attempt's use of the upload and unblocks a read from a
 // stalled caller. Until that read ends, http.Transport does not return from a
 // broken connection and the server does not send the refusal. The connection to
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -59,6 +59,9 @@
 	c.w.WriteHeader(resp.StatusCode)
 	t := transfer{storing: e.Store && resp.ContentLength <= maxStoredBody}
 	t.copy(c.w, resp)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && t.readErr == nil && c.stream != nil && !c.stream.finished() {
+		t.readErr = io.ErrUnexpectedEOF // the upstream closed the connection during the upload
+	}
 	if t.readErr == nil && t.writeErr == nil {
 		c.copyResponseTrailers(resp)
 		t.writeErr = flushFixedLength(c.w, resp)
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 )
@@ -121,17 +123,41 @@
 type peerEndpoint struct{ address, authority string }
 
 // trackedConn counts the bytes passed to Write, so that a failed attempt can be
-// shown to have sent nothing.
+// shown to have sent nothing, and tells the end of the stream from a broken connection.
 type trackedConn struct {
 	net.Conn
-	written atomic.Int64
+	written    atomic.Int64
+	writeError atomic.Value // a writeFailure; the first error of Write
 }
 
+type writeFailure struct{ error }
+
 // Write adds to the count before it writes, because bytes that are counted
 // afterwards could already have been sent.
 func (t *trackedConn) Write(p []byte) (int, error) {
 	t.written.Add(int64(len(p)))
-	return t.Conn.Write(p)
+	n, err := t.Conn.Write(p)
+	if err != nil {
+		t.writeError.CompareAndSwap(nil, writeFailure{err})
+	}
+	return n, err
+}
+
+// Read returns an error instead of io.EOF if the connection broke: the kernel may have reported a
+// reset to Write only, and a server that has not received the whole request resets the connection
+// after its end.
+func (t *trackedConn) Read(p []byte) (int, error) {
+	n, err := t.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if failure, ok := t.writeError.Load().(writeFailure); ok {
+		return n, failure.error
+	}
+	if broken := exchange.AwaitReceipt(t.Conn); broken != nil {
+		return n, broken
+	}
+	return n, io.EOF
 }
 
 func dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
