--- a/cmd/cardamomhatch/stop_test.go
+++ b/cmd/cardamomhatch/stop_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net"
 	"syscall"
 	"testing"
@@ -11,18 +10,16 @@
 // Guards against a node that ends at once, with requests in flight, because a second SIGTERM
 // reaches it while it stops.
 func TestSecondSIGTERMDoesNotEndAStop(t *testing.T) {
-	addresses := make([]any, 6)
-	for i := range addresses {
+	text := "[node]\nhost = h\ndata_centre = d\nservice = s\nupstream = 127.0.0.1:1\n"
+	for _, key := range []string{"[listen]\ncallers", "peers", "announcements", "ready", "metrics", "[store]\naddress"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer l.Close()
-		addresses[i] = l.Addr().String()
+		text += key + " = " + l.Addr().String() + "\n"
 		l.Close()
 	}
-	settings := writeTestFile(t, t.TempDir(), "serve.ini", fmt.Sprintf(
-		"[node]\nhost = h\ndata_centre = d\nservice = s\nupstream = 127.0.0.1:1\n[listen]\ncallers = %s\npeers = %s\nannouncements = %s\nready = %s\nmetrics = %s\n[store]\naddress = %s\n[terms]\n", addresses...))
+	settings := writeTestFile(t, t.TempDir(), "serve.ini", text+"[terms]\n")
 	node, _ := startChild(t, `"started"`, "serve", "--settings", settings)
 	began := time.Now()
 	for range 3 {
