Handle SIGHUP from the start of serve on

Cause: SIGHUP was handled only once the node had started, and its default effect ends a process.

Change: the handler is set before the settings are read.

--- a/cmd/cardamomhatch/serve.go
+++ b/cmd/cardamomhatch/serve.go
@@ -42,6 +42,10 @@
 // Run runs one sidecar node until SIGINT or SIGTERM, then shuts it down
 // gracefully.
 func (c *serveCommand) Run(ctx context.Context, s *streams) error {
+	// Before anything else: SIGHUP ends a process that does not handle it, and the settings may
+	// change as soon as the platform has started the node.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	nodeSettings, err := readSidecarSettings(c.Settings)
 	if err != nil {
 		return err
@@ -58,7 +62,7 @@
 		debug.SetMemoryLimit(intake.NewPlan(hostLimits(nodeSettings.Limits)).ProcessMemory - nonRuntimeMemory)
 	}
 	node.Start()
-	c.reloadOnSIGHUP(ctx, nodeSettings, log)
+	c.reloadOnSIGHUP(ctx, hangup, nodeSettings, log)
 	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(stopFraction*float64(nodeSettings.Terms.Grace)))
 	defer cancel()
@@ -74,12 +78,10 @@
 	return settings.ParseSidecar(filepath.Base(path), data)
 }
 
-// reloadOnSIGHUP reads the settings again on SIGHUP and logs whether they differ from
-// the initial ones. The running node keeps the initial settings; changes take effect
+// reloadOnSIGHUP reads the settings again after each signal in hangup and logs whether they differ
+// from the initial ones. The running node keeps the initial settings; changes take effect
 // at its next start.
-func (c *serveCommand) reloadOnSIGHUP(ctx context.Context, initial settings.Sidecar, log *eventlog.Log) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func (c *serveCommand) reloadOnSIGHUP(ctx context.Context, hangup <-chan os.Signal, initial settings.Sidecar, log *eventlog.Log) {
 	go func() {
 		for {
 			select {
