Keep the start tests apart from ports of other processes

The child had ended before it was ready; startChild then failed the test, whose cleanup waited forever for an end that nobody recorded. Why the child ended was not printed for the same reason. That another process had taken one of its ports, which are free for a moment before the child listens, is likely, not shown.

Change: startChild records the end of a child that is not ready before it fails the test, so that the failure shows the child's standard error. The addresses of the two tests are on a loopback address of the test process, whose ports no other process takes.

They check what they checked.

--- a/cmd/cardamomhatch/processes_test.go
+++ b/cmd/cardamomhatch/processes_test.go
@@ -72,6 +72,8 @@
 			return c, found[1:]
 		}
 	}
+	_ = c.cmd.Wait() // its output has ended
+	close(c.exited)  // kill waits for it
 	t.Fatalf("%q exited without a line matching %q; standard error: %s", args, ready, c.stderr)
 	return nil, nil
 }
--- a/cmd/cardamomhatch/stop_test.go
+++ b/cmd/cardamomhatch/stop_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -10,11 +11,14 @@
 )
 
 // serveSettings writes settings of a serve process on free addresses and returns their file and the
-// address for callers.
+// address for callers. The addresses are on a loopback address of this process, so that no other
+// process takes a port before serve listens on it.
 func serveSettings(t *testing.T) (file, callers string) {
+	pid := os.Getpid()
+	own := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 	text := "[node]\nhost = h\ndata_centre = d\nservice = s\nupstream = 127.0.0.1:1\n"
 	for _, key := range []string{"[listen]\ncallers", "peers", "announcements", "ready", "metrics", "[store]\naddress"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", own)
 		if err != nil {
 			t.Fatal(err)
 		}
