--- a/internal/sidecar/gone_test.go
+++ b/internal/sidecar/gone_test.go
@@ -13,19 +13,27 @@
 	"cardamomhatch/internal/upstream"
 )
 
+// startBlockedUpstream starts a web host whose upstream runs one request at a time and answers once
+// release is closed, and a stock host that forwards to it.
+func startBlockedUpstream(t *testing.T) (web, stock *host, release chan struct{}) {
+	t.Helper()
+	s := newStore(shopDeclaration)
+	web, stock = startHost(t, s, "a", "web", 1), startHost(t, s, "c", "stock", 8)
+	waitForServices(t, map[mesh.Service]int{"web": 1, "stock": 1}, web, stock)
+	release = make(chan struct{})
+	web.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
+		<-release
+		fmt.Fprint(w, "done")
+	})
+	return web, stock, release
+}
+
 // An order that another node had forwarded waited in the queue of the serving node with its body
 // unread, so that the end of its caller's connection was not noticed: it ran after the caller had
 // left. Short bodies and such that are longer than a read buffer must not differ.
 func TestOrderOfACallerThatLeftDoesNotRun(t *testing.T) {
 	for _, size := range []int{1, 100 << 10} {
-		s := newStore(shopDeclaration)
-		web, stock := startHost(t, s, "a", "web", 1), startHost(t, s, "c", "stock", 8)
-		waitForServices(t, map[mesh.Service]int{"web": 1, "stock": 1}, web, stock)
-		release := make(chan struct{})
-		web.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
-			<-release
-			fmt.Fprint(w, "done")
-		})
+		web, stock, release := startBlockedUpstream(t)
 		first := make(chan response, 1)
 		go func() { first <- stock.call("first", "POST", "/notify/1", "", "x") }()
 		eventually(t, "the upstream runs the first order", func() bool { return web.runCount("first") == 1 })
@@ -69,14 +77,7 @@
 // the departure was acknowledged, and lost when the upstream exited. It must be refused as not run
 // while another upstream can still run it.
 func TestQueuedOrderIsNotSentToALeavingUpstream(t *testing.T) {
-	s := newStore(shopDeclaration)
-	web, stock := startHost(t, s, "a", "web", 1), startHost(t, s, "c", "stock", 8)
-	waitForServices(t, map[mesh.Service]int{"web": 1, "stock": 1}, web, stock)
-	release := make(chan struct{})
-	web.setHandler(func(_ *host, w http.ResponseWriter, _ *http.Request) {
-		<-release
-		fmt.Fprint(w, "done")
-	})
+	web, stock, release := startBlockedUpstream(t)
 	first, queued := make(chan response, 1), make(chan response, 1)
 	go func() { first <- stock.call("first", "GET", "/read/1", "k1", "") }()
 	eventually(t, "the upstream runs the first request", func() bool { return web.runCount("first") == 1 })
