Test malformed responses wherever responses are read

Callers were reported to get responses with the status 000 and responses whose head has a field name with a blank or a control byte. The code refuses both, and truncated responses without a length; the tests of the latter stay as they are (TestAnswerThatEndsWithAReset, TestBrokenAnswersDoNotReachCallers, TestAnswerCutDuringAnUpload).

Only the exchange client had a test for all shapes of heads, the nodes of run for two of them and the other readers for none. standin/malformed holds the shapes now, with a status of four digits added.

--- a/internal/logservice/logservice_test.go
+++ b/internal/logservice/logservice_test.go
@@ -10,6 +10,7 @@
 
 	"cardamomhatch/internal/logservice"
 	"cardamomhatch/internal/standin/logserver"
+	"cardamomhatch/internal/standin/malformed"
 )
 
 // Guards against an HTTP status or a broken connection that is reported as the wrong
@@ -55,6 +56,20 @@
 	}
 }
 
+// Guards against a malformed response being taken for a page of the log.
+func TestMalformedResponses(t *testing.T) {
+	for name, raw := range malformed.Responses(`{"records":[],"head":0}`) {
+		if strings.Contains(name, "interim") {
+			continue // net/http.Transport does not show the heads of interim responses
+		}
+		server := httptest.NewServer(malformed.Handler(raw))
+		if page, err := logservice.NewHTTPClient(server.URL, nil).Read(t.Context(), "s", 0, 1, 0); !errors.Is(err, logservice.ErrUnavailable) {
+			t.Errorf("%s: got page %+v and error %v, want ErrUnavailable", name, page, err)
+		}
+		server.Close()
+	}
+}
+
 // Guards against a client and a log server that implement the protocol differently.
 func TestHTTPClientAgainstLogServer(t *testing.T) {
 	server := logserver.New(logserver.Config{RetainRecords: 2})
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -1,35 +1,40 @@
 package node
 
 import (
-	"io"
-	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/standin/malformed"
 )
 
-// Guards against an answer whose head is malformed being passed on to the caller, with a status
-// that is none or a body that is not the upstream's.
+// Guards against a malformed response being passed on to the caller, with a status that is none or
+// a body that is not the upstream's.
 func TestMalformedHeadsAreRefused(t *testing.T) {
-	for name, raw := range map[string]string{
-		"status 000":            "HTTP/1.1 000 Broken\r\nContent-Length: 5\r\n\r\nwrong",
-		"blank in a field name": "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 5\r\n\r\nwrong",
-	} {
-		p := startPair(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				panic(err)
-			}
-			defer conn.Close()
-			io.WriteString(conn, raw)
-		}))
-		resp, body, err := doRequest(newClient(t, nil), newRequest(t, "GET", p.entry.callers+"/a", ""))
-		if err != nil {
-			t.Errorf("%s: %v", name, err)
-			continue
-		}
-		if refusal, ok := outcome.Parse(resp.Header); !ok || refusal.Execution != outcome.MayHaveRun {
-			t.Errorf("%s: got %s %q, want a refusal of a request that may have run", name, resp.Status, body)
+	for name, raw := range malformed.Responses("wrong") {
+		if strings.Contains(name, "interim") {
+			continue // net/http.Transport does not show the heads of interim responses
 		}
+		server := httptest.NewServer(malformed.Handler(raw))
+		defer server.Close()
+		p := startPair(t, nil, malformed.Handler(raw))
+		requireMayHaveRun(t, "upstream: "+name, p, outcome.UpstreamFailed)
+		p.entry.forwardTo(mesh.Member{Node: p.serving.member.Node, PeerAddress: strings.TrimPrefix(server.URL, "http://")})
+		requireMayHaveRun(t, "peer: "+name, p, outcome.PeerLost)
+	}
+}
+
+// requireMayHaveRun sends a request and checks that it is refused as one that may have run.
+func requireMayHaveRun(t *testing.T, name string, p pair, reason outcome.Reason) {
+	t.Helper()
+	resp, body, err := doRequest(newClient(t, nil), newRequest(t, "GET", p.entry.callers+"/a", ""))
+	if err != nil {
+		t.Errorf("%s: %v", name, err)
+		return
+	}
+	if refusal, ok := outcome.Parse(resp.Header); !ok || refusal.Execution != outcome.MayHaveRun || refusal.Reason != reason {
+		t.Errorf("%s: got %s %q, want a refusal of a request that may have run with reason %s", name, resp.Status, body, reason)
 	}
 }
--- a/internal/operator/refusal_test.go
+++ b/internal/operator/refusal_test.go
@@ -20,6 +20,7 @@
 	"cardamomhatch/internal/logservice"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/operator"
+	"cardamomhatch/internal/standin/malformed"
 )
 
 const operatorToken = "the operator token"
@@ -234,6 +235,21 @@
 	requireConfirmError(t, "empty", c, emptyPlan, operator.CodePlanEmpty)
 }
 
+// Guards against a malformed response being taken for a list of keys.
+func TestMalformedResponses(t *testing.T) {
+	for name, raw := range malformed.Responses(`{"keys":[]}`) {
+		if strings.Contains(name, "interim") {
+			continue // net/http.Transport does not show the heads of interim responses
+		}
+		server := httptest.NewServer(malformed.Handler(raw))
+		client := operator.Client{URL: server.URL, Token: operatorToken}
+		if keys, err := client.Keys(t.Context()); err == nil {
+			t.Errorf("%s: got %d keys and no error", name, len(keys))
+		}
+		server.Close()
+	}
+}
+
 func clonePlan(t *testing.T, p operator.Plan) (out operator.Plan) {
 	t.Helper()
 	data, err := json.Marshal(p)
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -6,8 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"cardamomhatch/internal/exchange"
+	"cardamomhatch/internal/outcome"
+	"cardamomhatch/internal/standin/malformed"
 )
 
 // answerRaw returns a handler of an upstream that writes the given bytes at once, whatever is left
@@ -82,3 +87,62 @@
 		})
 	}
 }
+
+// A malformed response of an upstream must not reach a caller: the order may have run, and counts
+// as a failure of the upstream. Neither the node beside the upstream nor one that takes the response
+// from a peer may pass it on.
+func TestMalformedResponsesOfAnUpstream(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	for name, raw := range malformed.Responses("wrong") {
+		answer := func(_ *host, w http.ResponseWriter, r *http.Request) { malformed.Handler(raw).ServeHTTP(w, r) }
+		a.setHandler(answer)
+		b.setHandler(answer)
+		before, ran := brokenResponses(a, b), 0
+		for i, entry := range []*host{a, c, a, c} {
+			id := fmt.Sprint(name, i)
+			got := entry.call(id, "POST", "/order/1", "k1", "x")
+			if a.runCount(id)+b.runCount(id) == 0 {
+				continue // the upstream counts as failed
+			}
+			ran++
+			requireMayHaveRun(t, name, got)
+		}
+		if ran == 0 {
+			t.Errorf("%s: no request reached an upstream", name)
+		}
+		if counted := brokenResponses(a, b) - before; counted < int64(ran) {
+			t.Errorf("%s: %d of %d responses counted as failures of the upstream", name, counted, ran)
+		}
+	}
+}
+
+// The same responses must not reach a caller when a peer sends them.
+func TestMalformedResponsesOfAPeer(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	for name, raw := range malformed.Responses("wrong") {
+		peer := httptest.NewServer(malformed.Handler(raw))
+		defer peer.Close()
+		c.node.mu.Lock()
+		for _, h := range []*host{a, b} {
+			c.node.pools[h.node.cfg.Self.PeerAddress] = exchange.New(exchange.Config{Address: peer.Listener.Addr().String(), DialTimeout: dialTimeout})
+		}
+		c.node.mu.Unlock()
+		requireMayHaveRun(t, name, c.call(name, "POST", "/order/1", "k1", "x"))
+	}
+}
+
+// brokenResponses returns how many malformed or truncated responses the nodes have counted.
+func brokenResponses(hosts ...*host) (n int64) {
+	for _, h := range hosts {
+		n += h.node.metrics.upstreamFailures.Count() + h.node.metrics.brokenResponses.Count()
+	}
+	return n
+}
+
+func requireMayHaveRun(t *testing.T, name string, got response) {
+	t.Helper()
+	refusal, ok := outcome.Parse(got.header)
+	if got.status != http.StatusBadGateway || !ok || refusal.Execution != outcome.MayHaveRun {
+		t.Errorf("%s: got status %d, %q, error %v, want a 502 that states that the order may have run", name, got.status, got.body, got.err)
+	}
+}
--- /dev/null
+++ b/internal/standin/malformed/malformed.go
@@ -0,0 +1,44 @@
+// Package malformed is a stand-in for a server in trouble, whose responses are malformed.
+package malformed
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Responses returns malformed responses, by what is wrong with them. A lenient reader takes each
+// for a complete response, most of them for one with the status 200 and the given body.
+func Responses(body string) map[string]string {
+	sized := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	sound := "HTTP/1.1 200 OK\r\n" + sized
+	return map[string]string{
+		"status 000":                   "HTTP/1.1 000 Broken\r\n" + sized,
+		"status 000 before a response": "HTTP/1.1 000 Broken\r\n\r\n" + sound,
+		"status 099 before a response": "HTTP/1.1 099 Broken\r\n\r\n" + sound,
+		"status with a sign":           "HTTP/1.1 +20 OK\r\n\r\n" + sound,
+		"status 600":                   "HTTP/1.1 600 Broken\r\n" + sized,
+		"status of two digits":         "HTTP/1.1 20 OK\r\n" + sized,
+		"status of four digits":        "HTTP/1.1 1000 OK\r\n" + sized,
+		"blank in a name":              "HTTP/1.1 200 OK\r\nX Y: z\r\n" + sized,
+		"blank before the colon":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s and more", len(body), body),
+		"blank in a name of interim":   "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound,
+		"control byte in a name":       "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n" + sized,
+		"NUL in a name":                "HTTP/1.1 200 OK\r\nX\x00: z\r\n" + sized,
+		"tab before the colon":         "HTTP/1.1 200 OK\r\nX\t: z\r\n" + sized,
+		"no name":                      "HTTP/1.1 200 OK\r\n: z\r\n" + sized,
+		"no colon":                     "HTTP/1.1 200 OK\r\nXY\r\n" + sized,
+	}
+}
+
+// Handler returns a handler that writes the given bytes as its response and closes the connection.
+func Handler(raw string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, raw) // fails if the client has left
+	})
+}
