--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -34,7 +34,7 @@
 }
 
 func newResponse(status int, body string) *http.Response {
-	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
+	return &http.Response{ProtoMajor: 1, ProtoMinor: 1, StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
 }
 
 func refusalResponse(e outcome.Execution, reason outcome.Reason, retryAfter time.Duration) *http.Response {
