Refuse 101 Switching Protocols at every reader of responses

Cause: two rules. The nodes of run refused 101, the exchange client took it for a final response and only kept its connection from reuse.

No node forwards an upgrade, which TestUpgradeIsNotForwarded (sidecar) and TestForgedHeaders (node) check; they passed before. A 101 counts as a failure of a request that may have run.

Before the fix, 101 with and without an Upgrade field failed TestMalformedHeads, TestMalformedHeadsWithStrict, TestMalformedResponsesOfAnUpstream and TestMalformedResponsesOfAPeer, and 101 with the field TestMalformedResponses of the operator's client. All pass with it.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -207,7 +207,7 @@
 		if err != nil {
 			return errors.Wrap(err, "read the answer")
 		}
-		if parsed.StatusCode < http.StatusOK && parsed.StatusCode != http.StatusSwitchingProtocols {
+		if parsed.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches == nil || r.Matches(parsed.Header) {
@@ -271,7 +271,7 @@
 // ended, the whole request was sent, the response was read to its end, nothing follows
 // it, and the server keeps the connection open. Otherwise it is closed.
 func (resp *Response) Close() {
-	if !resp.stopWatch() || !resp.complete || resp.noReuse || resp.Response.Close || resp.StatusCode == http.StatusSwitchingProtocols || !resp.bodySent() {
+	if !resp.stopWatch() || !resp.complete || resp.noReuse || resp.Response.Close || !resp.bodySent() {
 		resp.conn.Close()
 		return
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -7,8 +7,6 @@
 	"net/url"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
@@ -130,7 +128,7 @@
 	resp, err := a.transport.RoundTrip(request)
 	c.clearCancel()
 	if err == nil {
-		if err = checkHead(resp); err != nil {
+		if err = exchange.CheckHead(resp); err != nil {
 			resp.Body.Close()
 		}
 	}
@@ -149,19 +147,6 @@
 	c.node.Step(c.responseEvent(a, resp))
 }
 
-// checkHead returns an error if the head of a response shows that it is no answer to the request.
-func checkHead(resp *http.Response) error {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return errProtocolSwitched
-	}
-	return exchange.CheckHead(resp)
-}
-
-// errProtocolSwitched fails an attempt that was answered with 101 Switching
-// Protocols: after a switch the node cannot tell whether the response is
-// complete.
-var errProtocolSwitched = errors.New("peer or upstream switched protocols")
-
 // newRequest returns the request of an attempt, and its body if it is streamed.
 func (c *call) newRequest(ctx context.Context, a *attempt) (*http.Request, *attemptBody) {
 	body, stream := c.upload.newBody()
--- a/internal/node/hygiene_test.go
+++ b/internal/node/hygiene_test.go
@@ -92,8 +92,9 @@
 	r.Header["cARDAMOMHATCH-lower"] = []string{"forged"}
 	r.Header.Set(engine.TicketHeader, "ticket-7")
 	r.Header.Set(engine.TimeoutHeader, "1500")
-	r.Header.Set("Connection", "X-Hop-Request")
+	r.Header.Set("Connection", "X-Hop-Request, Upgrade")
 	r.Header.Set("X-Hop-Request", "1")
+	r.Header.Set("Upgrade", "x")
 	resp, _, err := doRequest(newClient(t, nil), r)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		t.Fatal(resp, err)
@@ -104,7 +105,7 @@
 	}
 	want := map[string]bool{engine.CallHeader: true, engine.WorkspaceHeader: true, engine.TimeoutHeader: true}
 	for name, values := range seen {
-		if isInternalHeader(name) && !want[name] || values[0] == "forged" || name == "X-Hop-Request" {
+		if isInternalHeader(name) && !want[name] || values[0] == "forged" || name == "X-Hop-Request" || name == "Upgrade" {
 			t.Errorf("upstream saw header %s: %v", name, values)
 		}
 	}
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -131,6 +131,29 @@
 	}
 }
 
+// No node may ask an upstream for an upgrade, as a response that switches protocols is refused.
+func TestUpgradeIsNotForwarded(t *testing.T) {
+	_, a, _, c := startSmallMesh(t)
+	for _, entry := range []*host{a, c} {
+		r, err := http.NewRequest("GET", "http://"+entry.callerAddress+"/feed/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "shop"
+		r.Header = http.Header{dialect.RequestID: {"r"}, "Connection": {"Upgrade"}, "Upgrade": {"x"}}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		c.mu.Lock()
+		if resp.StatusCode != http.StatusOK || c.lastHeader.Get("Upgrade") != "" || c.lastHeader.Get("Connection") != "" {
+			t.Errorf("got status %d, and the upstream the header %v, want 200 and no upgrade", resp.StatusCode, c.lastHeader)
+		}
+		c.mu.Unlock()
+	}
+}
+
 // brokenResponses returns how many malformed or truncated responses the nodes have counted.
 func brokenResponses(hosts ...*host) (n int64) {
 	for _, h := range hosts {
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -24,6 +24,8 @@
 		"version HTTP/2.0":             "HTTP/2.0 200 OK\r\n" + sized,
 		"version HTTP/1.2":             "HTTP/1.2 200 OK\r\n" + sized,
 		"version HTTP/0.9":             "HTTP/0.9 200 OK\r\n" + sized,
+		"101 without an upgrade":       "HTTP/1.1 101 Switching Protocols\r\n" + sized,
+		"101 with an upgrade":          "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + sized,
 		"blank in a name":              "HTTP/1.1 200 OK\r\nX Y: z\r\n" + sized,
 		"blank before the colon":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s and more", len(body), body),
 		"blank in a name of interim":   "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound,
