Refuse HTTP/1.0 responses with a transfer coding

What callers saw: the lines of the chunks as a body, cut to the stated length if there was one, as a complete response (15 of 15 reads without a length and 30 of 30 requests with one, with real processes). Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and removes the field, so that CheckHead cannot see it. RFC 9112, section 6.1, counts the framing of such a message as faulty.

codingScan looks for the field in the raw bytes of the heads. The exchange client feeds it while it reads a head. Strict takes an http.Transport now and scans its connections, behind TLS the decrypted bytes; a new exchange on a kept connection starts a new scan, so that a body is never taken for a head. The transports of run, the log client, the operator's client and the load generator use it. They therefore speak HTTP/1.1 only, as the nodes do. Well-formed responses of HTTP/1.0 pass, with a length and without one (TestHTTP10).

--- a/cmd/cardamomhatch/operate.go
+++ b/cmd/cardamomhatch/operate.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomhatch/internal/config"
+	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/operator"
 )
@@ -64,7 +65,7 @@
 		}
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
 	}
-	return &operator.Client{URL: url, Token: token, HTTP: &http.Client{Transport: transport}}, nil
+	return &operator.Client{URL: url, Token: token, Transport: exchange.Strict(transport)}, nil
 }
 
 func readCertPool(path string) (*x509.CertPool, error) {
--- a/cmd/cardamomhatch/run.go
+++ b/cmd/cardamomhatch/run.go
@@ -148,7 +148,7 @@
 // readTLS returns the TLS configuration of the listeners and the transport for the
 // log service, whose certificate is verified with the same CA. Without a certificate
 // in the settings, both use plain text.
-func readTLS(nodeSettings settings.Settings) (node.TLS, http.RoundTripper, error) {
+func readTLS(nodeSettings settings.Settings) (node.TLS, *http.Transport, error) {
 	if nodeSettings.TLSCert == "" {
 		return node.TLS{}, &http.Transport{}, nil
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -195,15 +195,9 @@
 // receive reads the header of the response that belongs to the request. It skips
 // interim responses, and a few responses to other requests.
 func (resp *Response) receive(r *Request) error {
-	head := &resp.conn.head
-	head.left = maxHead
+	resp.conn.head.left = maxHead
 	for unmatched := 0; unmatched <= maxUnmatched; {
-		head.begin()
-		parsed, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
-		head.end()
-		if err == nil {
-			err = CheckHead(parsed)
-		}
+		parsed, err := resp.conn.readHead(r.Method)
 		if err != nil {
 			return errors.Wrap(err, "read the answer")
 		}
@@ -225,6 +219,24 @@
 	return errors.New("the answer belongs to another request")
 }
 
+// readHead reads and checks the head of a response to a request with the given method.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.begin(buffered)
+	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.head.end()
+	switch {
+	case err != nil:
+		return nil, err
+	case c.head.coding.found:
+		return nil, errTransferCoding
+	}
+	return parsed, CheckHead(parsed)
+}
+
 // Read reads the body and records whether its end was reached.
 func (resp *Response) Read(p []byte) (int, error) {
 	if resp.endErr != nil {
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -33,22 +33,3 @@
 	}
 	return nil
 }
-
-// strictTransport fails requests whose responses have a malformed head.
-type strictTransport struct{ http.RoundTripper }
-
-// Strict returns a RoundTripper that also applies CheckHead to each response.
-func Strict(t http.RoundTripper) http.RoundTripper { return strictTransport{t} }
-
-// RoundTrip implements http.RoundTripper.
-func (t strictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	if err := CheckHead(resp); err != nil {
-		resp.Body.Close()
-		return nil, err
-	}
-	return resp, nil
-}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -80,12 +80,14 @@
 }
 
 // headLimit bounds the bytes that are read of a connection while response heads are
-// parsed, because net/http holds a head in memory however long it is.
+// parsed, because net/http holds a head in memory however long it is. It also looks for the transfer
+// coding that net/http hides.
 type headLimit struct {
 	source io.Reader
 	active bool
 	left   int // bytes that may be read while active
 	lines  int // that were read of the current head, and of what followed it in the last read
+	coding codingScan
 }
 
 var (
@@ -93,8 +95,11 @@
 	errHeadTooManyLines = errors.Errorf("the response head has more than %d lines", maxHeadLines)
 )
 
-// begin is called before a head is parsed.
-func (l *headLimit) begin() { l.active, l.lines = true, 0 }
+// begin is called before a head is parsed. buffered are the bytes that have been read of it already.
+func (l *headLimit) begin(buffered []byte) {
+	l.active, l.lines, l.coding = true, 0, codingScan{}
+	l.coding.scan(buffered)
+}
 
 // end is called after a head was parsed.
 func (l *headLimit) end() { l.active = false }
@@ -111,6 +116,7 @@
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	l.lines += bytes.Count(p[:n], []byte{'\n'})
+	l.coding.scan(p[:n])
 	return n, err
 }
 
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"cardamomhatch/internal/exchange"
 )
 
 // Defaults for the fields of Config that are zero.
@@ -63,7 +65,7 @@
 	// TicketPerRequest requests a new ticket for each request instead of using one
 	// that an earlier answer carried, whose owner may have left since.
 	TicketPerRequest bool
-	Transport        http.RoundTripper // nil means a transport for this run only
+	Transport        http.RoundTripper // nil means a strict transport for this run only
 	Progress         func(Progress)    // called every second and at the end; may be nil
 	// Usable reports whether a target accepts connections; nil means that all do.
 	// Clients skip targets that are not usable.
@@ -89,11 +91,11 @@
 	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
 	c.RetryDelay = cmp.Or(c.RetryDelay, DefaultRetryDelay)
 	if c.Transport == nil {
-		c.Transport = &http.Transport{
+		c.Transport = exchange.Strict(&http.Transport{
 			MaxIdleConnsPerHost: c.MaxInFlight,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		}
+		})
 	}
 	return c
 }
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"cardamomhatch/internal/exchange"
 	"cardamomhatch/internal/outcome"
 )
 
@@ -194,7 +193,7 @@
 	if name := c.runner.cfg.MarkerHeader; name != "" && path == c.route.Path {
 		request.Header.Set(name, c.attemptMarker())
 	}
-	response, err := exchange.Strict(c.runner.cfg.Transport).RoundTrip(request)
+	response, err := c.runner.cfg.Transport.RoundTrip(request)
 	if err != nil {
 		return attemptResult{kind: failed}, nil
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cardamomhatch/internal/exchange"
 )
 
 // progressInterval is the time between two calls of Config.Progress.
@@ -51,7 +52,7 @@
 	r.requests.Wait()
 	close(done)
 	progressReporter.Wait()
-	if transport, ok := r.cfg.Transport.(*http.Transport); ok && cfg.Transport == nil {
+	if transport, ok := r.cfg.Transport.(*exchange.StrictTransport); ok && cfg.Transport == nil {
 		transport.CloseIdleConnections()
 	}
 	return r.result(), nil
--- a/internal/logservice/http.go
+++ b/internal/logservice/http.go
@@ -42,8 +42,8 @@
 
 // NewHTTPClient returns a client for the log service at base, for example
 // http://127.0.0.1:9000. A nil transport means one that keeps up to 4 idle
-// connections, each for at most a minute.
-func NewHTTPClient(base string, transport http.RoundTripper) *HTTPClient {
+// connections, each for at most a minute; another one must not be in use yet.
+func NewHTTPClient(base string, transport *http.Transport) *HTTPClient {
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -127,11 +127,6 @@
 	c.setCancel(cancel)
 	resp, err := a.transport.RoundTrip(request)
 	c.clearCancel()
-	if err == nil {
-		if err = exchange.CheckHead(resp); err != nil {
-			resp.Body.Close()
-		}
-	}
 	if err != nil {
 		ctxErr := ctx.Err() // read before cancel, which would set it
 		execution := tracker.execution()
@@ -252,7 +247,7 @@
 	service     mesh.Service
 	base        url.URL // scheme and host
 	connections int     // 0 if not limited
-	transport   *http.Transport
+	transport   *exchange.StrictTransport
 }
 
 // target returns t with the scheme and host of the upstream.
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -53,19 +53,19 @@
 
 // upstreamTransport returns a transport with at most the announced number of
 // connections, or without a limit if that is 0.
-func upstreamTransport(connections int) *http.Transport {
+func upstreamTransport(connections int) *exchange.StrictTransport {
 	t := newTransport()
 	t.MaxConnsPerHost = connections
 	t.MaxIdleConnsPerHost = max(connections, maxIdleConnsPerHost)
 	t.ExpectContinueTimeout = upstreamContinueTimeout
-	return t
+	return exchange.Strict(t)
 }
 
 // forwarder holds the connections to the peer listeners of other nodes.
 // Requests are addressed to the peer's host name, which TLS verifies; dialling
 // maps the name to the peer's address.
 type forwarder struct {
-	transport *http.Transport
+	transport *exchange.StrictTransport
 	useTLS    bool
 	mu        sync.RWMutex
 	addresses map[string]string // peer addresses by authority
@@ -76,13 +76,13 @@
 	f := &forwarder{
 		addresses: map[string]string{}, byHost: map[mesh.Host]peerEndpoint{}, useTLS: config != nil,
 	}
-	f.transport = newTransport()
-	f.transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	f.transport.ExpectContinueTimeout = peerContinueTimeout
+	transport := newTransport()
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.ExpectContinueTimeout = peerContinueTimeout
 	if config != nil {
-		f.transport.TLSClientConfig = config.Clone()
+		transport.TLSClientConfig = config.Clone()
 	}
-	f.transport.DialContext = func(ctx context.Context, network, authority string) (net.Conn, error) {
+	transport.DialContext = func(ctx context.Context, network, authority string) (net.Conn, error) {
 		f.mu.RLock()
 		address, ok := f.addresses[authority]
 		f.mu.RUnlock()
@@ -91,6 +91,7 @@
 		}
 		return dialTracked(ctx, network, address)
 	}
+	f.transport = exchange.Strict(transport)
 	return f
 }
 
@@ -197,12 +198,18 @@
 	}}
 }
 
+// asTrackedConn returns the trackedConn below the layers of a connection, or nil if there is none.
 func asTrackedConn(conn net.Conn) *trackedConn {
-	if secure, ok := conn.(*tls.Conn); ok {
-		conn = secure.NetConn()
+	for {
+		switch layer := conn.(type) {
+		case *trackedConn:
+			return layer
+		case interface{ NetConn() net.Conn }:
+			conn = layer.NetConn()
+		default:
+			return nil
+		}
 	}
-	t, _ := conn.(*trackedConn)
-	return t
 }
 
 // closeAndCheckUnsent closes the connection and reports whether the attempt has
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -27,11 +28,13 @@
 // rejected the request. Errors in sending a request or reading its response contain
 // URL.
 type Client struct {
-	URL   string // base URL of the operator listener
-	Token string
-	HTTP  *http.Client // nil means http.DefaultClient
+	URL       string // base URL of the operator listener
+	Token     string
+	Transport *exchange.StrictTransport // nil means one that all such clients share
 }
 
+var sharedTransport = exchange.Strict(&http.Transport{})
+
 // Plan requests a plan that brings the mesh to the state the files declare.
 func (c *Client) Plan(ctx context.Context, files []File) (Plan, error) {
 	return post[Plan](ctx, c, "/v1/plan", PlanRequest{files})
@@ -141,18 +144,12 @@
 		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+c.Token)
-	client := c.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
+	client := http.Client{Transport: cmp.Or(c.Transport, sharedTransport)}
 	resp, err := client.Do(r)
 	if err != nil {
 		return nil, errors.Wrapf(err, "request to node at %s", c.URL)
 	}
 	defer resp.Body.Close()
-	if err := exchange.CheckHead(resp); err != nil {
-		return nil, errors.Wrapf(err, "request to node at %s", c.URL)
-	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read response of node at %s", c.URL)
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -12,6 +12,7 @@
 func Responses(body string) map[string]string {
 	sized := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	sound := "HTTP/1.1 200 OK\r\n" + sized
+	chunked := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	return map[string]string{
 		"status 000":                   "HTTP/1.1 000 Broken\r\n" + sized,
 		"status 000 before a response": "HTTP/1.1 000 Broken\r\n\r\n" + sound,
@@ -26,6 +27,11 @@
 		"version HTTP/0.9":             "HTTP/0.9 200 OK\r\n" + sized,
 		"101 without an upgrade":       "HTTP/1.1 101 Switching Protocols\r\n" + sized,
 		"101 with an upgrade":          "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + sized,
+		"HTTP/1.0 in chunks":           "HTTP/1.0 200 OK\r\n" + chunked,
+		"HTTP/1.0 in chunks, length":   fmt.Sprintf("HTTP/1.0 200 OK\r\nContent-Length: %d\r\n", len(body)) + chunked,
+		"HTTP/1.0, coding and length":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + sized,
+		"HTTP/1.0, coding identity":    "HTTP/1.0 200 OK\r\ntransfer-encoding: identity\r\n" + sized,
+		"HTTP/1.0, coding after 103":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\n" + sized,
 		"blank in a name":              "HTTP/1.1 200 OK\r\nX Y: z\r\n" + sized,
 		"blank before the colon":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s and more", len(body), body),
 		"blank in a name of interim":   "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound,
