Trace each attempt of the nodes of run once

Since each attempt carried two httptrace.ClientTraces, that of the send tracker and that of the strict transport, which net/http combines by reflection. RoundTripTraced takes the function of the tracker, so that one remains. No decision changes; the tests of the tracker and of resent requests pass (TestNotRunOnlyIfNothingWasSent, TestAttemptBodyPreventsResend).

--- a/internal/exchange/strict.go
+++ b/internal/exchange/strict.go
@@ -66,10 +66,17 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.RoundTripTraced(r, func(net.Conn) {})
+}
+
+// RoundTripTraced is RoundTrip with a function that is called with each connection that the request
+// obtains. With a httptrace.ClientTrace for that in the context of r, two would be combined by reflection.
+func (t *StrictTransport) RoundTripTraced(r *http.Request, gotConn func(net.Conn)) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*scannedConn); ok {
 			c.beginExchange()
 		}
+		gotConn(info.Conn)
 	}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"time"
 
@@ -25,7 +24,7 @@
 	url        url.URL
 	header     http.Header
 	timeout    time.Duration // until the end of the response body
-	transport  http.RoundTripper
+	transport  *exchange.StrictTransport
 	toPeer     bool           // the request goes to a peer, not to the local upstream
 	lostReason outcome.Reason // reported if the connection fails after the request may have been sent
 }
@@ -119,13 +118,13 @@
 	deadline := time.Now().Add(a.timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	tracker := &sendTracker{}
-	request, stream := c.newRequest(httptrace.WithClientTrace(ctx, tracker.trace(cancel)), a)
+	request, stream := c.newRequest(ctx, a)
 	stopAbandon := func() bool { return true }
 	if c.stream = stream; stream != nil {
 		stopAbandon = context.AfterFunc(ctx, func() { stream.abandon(c.w) })
 	}
 	c.setCancel(cancel)
-	resp, err := a.transport.RoundTrip(request)
+	resp, err := a.transport.RoundTripTraced(request, tracker.gotConn(cancel))
 	c.clearCancel()
 	if err != nil {
 		ctxErr := ctx.Err() // read before cancel, which would set it
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -178,12 +177,12 @@
 	connected bool  // the attempt obtained a connection
 }
 
-// trace returns the hooks that update the tracker. A second connection for the
-// same attempt means that http.Transport is about to send the request again.
-// The attempt is then cancelled unless nothing was written on the first
-// connection.
-func (s *sendTracker) trace(cancel context.CancelFunc) *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+// gotConn returns the function that updates the tracker when the attempt obtains a
+// connection. A second connection for the same attempt means that http.Transport is
+// about to send the request again. The attempt is then cancelled unless nothing was
+// written on the first connection.
+func (s *sendTracker) gotConn(cancel context.CancelFunc) func(net.Conn) {
+	return func(conn net.Conn) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.connected && !s.closeAndCheckUnsent() {
@@ -191,11 +190,11 @@
 			return
 		}
 		s.connected = true
-		s.conn = asTrackedConn(info.Conn)
+		s.conn = asTrackedConn(conn)
 		if s.conn != nil {
 			s.baseline = s.conn.written.Load()
 		}
-	}}
+	}
 }
 
 // asTrackedConn returns the trackedConn below the layers of a connection, or nil if there is none.
