Refuse responses whose trailer has a field name that is no token

Cause: net/textproto keeps such a name in a trailer as it does in a head, and only the names of the head were checked.

Reads of a chunked body fail at its end now if the trailer is malformed, for the exchange client and for Strict, so for every reader. A Trailer field in the head that names no token is refused with the head. Well-formed trailers pass (TestTrailers).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -234,7 +234,7 @@
 	case c.head.coding.found:
 		return nil, errTransferCoding
 	}
-	return parsed, CheckHead(parsed)
+	return parsed, checkResponse(parsed)
 }
 
 // Read reads the body and records whether its end was reached.
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -26,10 +27,46 @@
 	if r.StatusCode == http.StatusSwitchingProtocols {
 		return errors.New("the response switches protocols, and the request did not ask for it")
 	}
-	for name := range r.Header {
+	if err := checkNames(r.Header); err != nil {
+		return err
+	}
+	return checkNames(r.Trailer)
+}
+
+func checkNames(fields http.Header) error {
+	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return errors.Errorf("malformed response: name of a header field %q", name)
+			return errors.Errorf("malformed response: name of a field %q", name)
 		}
 	}
 	return nil
 }
+
+// checkResponse is CheckHead for a response with a body. It also makes reads of the body fail at its
+// end if the trailer is malformed.
+func checkResponse(r *http.Response) error {
+	if err := CheckHead(r); err != nil {
+		return err
+	}
+	if len(r.TransferEncoding) > 0 {
+		r.Body = &bodyWithTrailer{r.Body, r}
+	}
+	return nil
+}
+
+// bodyWithTrailer is the body of a response that may have a trailer.
+type bodyWithTrailer struct {
+	io.ReadCloser
+	response *http.Response // its trailer is complete at the end of the body
+}
+
+// Read implements io.Reader.
+func (b *bodyWithTrailer) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if trailerErr := checkNames(b.response.Trailer); trailerErr != nil {
+			err = trailerErr
+		}
+	}
+	return n, err
+}
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -37,6 +37,22 @@
 	}
 }
 
+// A well-formed trailer must be taken, stated in the head or not.
+func TestTrailers(t *testing.T) {
+	for _, stated := range []string{"", "Trailer: X-Sum\r\n"} {
+		address, _ := startUpstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+stated+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Sum: 7\r\n\r\n")
+			return true
+		})
+		if body, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), newGet("1")); err != nil || body != "abc" {
+			t.Errorf("%q: got %q, %v", stated, body, err)
+		}
+		if body, err := get(&http.Client{Transport: Strict(&http.Transport{})}, "http://"+address); err != nil || body != "abc" {
+			t.Errorf("%q, Strict: got %q, %v", stated, body, err)
+		}
+	}
+}
+
 // The same responses must fail where net/http's own client reads them.
 func TestMalformedHeadsWithStrict(t *testing.T) {
 	for name, raw := range malformed.Responses("wrong") {
--- a/internal/exchange/strict.go
+++ b/internal/exchange/strict.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp); err != nil {
+	if err := checkResponse(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// A response that is too long to be held until its end must not look complete if its trailer is malformed.
+func TestMalformedTrailerOfALongResponse(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	const size = 2 * responseBufferLimit
+	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Y: z\r\n\r\n", size, strings.Repeat("a", size))
+	answer := func(_ *host, w http.ResponseWriter, r *http.Request) { malformed.Handler(raw).ServeHTTP(w, r) }
+	a.setHandler(answer)
+	b.setHandler(answer)
+	for i, entry := range []*host{a, c} {
+		if got := entry.call(fmt.Sprint("l", i), "POST", "/order/1", "k1", "x"); got.err == nil && got.status == http.StatusOK {
+			t.Errorf("got status %d and %d bytes without an error", got.status, len(got.body))
+		}
+	}
+}
+
 // The same responses must not reach a caller when a peer sends them.
 func TestMalformedResponsesOfAPeer(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
