--- a/internal/exchange/strict.go
+++ b/internal/exchange/strict.go
@@ -14,7 +14,7 @@
 type StrictTransport struct{ base *http.Transport }
 
 // Strict returns a StrictTransport that sends requests with base. It replaces the functions with
-// which base connects, so base must not be in use yet.
+// which base connects, so base must not be in use yet, nor reach https servers through a proxy.
 func Strict(base *http.Transport) *StrictTransport {
 	dial := base.DialContext
 	if dial == nil {
