Refuse responses with control bytes in the reason of their status

Another shape of the same cause, found by going through the grammar of the status line: a response whose reason holds a control byte, NUL or a lone CR was passed on as complete, because net/http takes any bytes for a reason and CheckHead did not look at them. No caller was reported to have met it.

Reasons with a tab or bytes beyond ASCII, and no reason, are taken as before (TestReasons).

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -15,13 +15,14 @@
 
 // CheckHead returns an error if the head of a parsed response is malformed. The parser of net/http
 // lets such heads through: it takes any two digits for a version, any three characters that are a
-// number for a status, and keeps a field name with a blank as it is, so that "Content-Length : 5"
-// states no length. CheckHead also refuses 101 Switching Protocols, as no request asks for an upgrade.
+// number for a status, any bytes for a reason, and keeps a field name with a blank as it is, so that
+// "Content-Length : 5" states no length. CheckHead also refuses 101 Switching Protocols, as no request
+// asks for an upgrade.
 func CheckHead(r *http.Response) error {
 	if r.ProtoMajor != 1 || r.ProtoMinor > 1 {
 		return errors.Errorf("malformed response: version %q", r.Proto)
 	}
-	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus || !httpguts.ValidHeaderFieldValue(r.Status) {
 		return errors.Errorf("malformed response: status %q", r.Status)
 	}
 	if r.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// Every well-formed reason must be taken: none, and one with a tab or with bytes beyond ASCII.
+func TestReasons(t *testing.T) {
+	for _, reason := range []string{"", " ", " OK", " a\tb", " \xe9t\xe9"} {
+		address, _ := startUpstream(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200"+reason+"\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc")
+			return true
+		})
+		if body, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), newGet("1")); err != nil || body != "abc" {
+			t.Errorf("%q: got %q, %v", reason, body, err)
+		}
+	}
+}
+
 // A well-formed trailer must be taken, stated in the head or not.
 func TestTrailers(t *testing.T) {
 	for _, stated := range []string{"", "Trailer: X-Sum\r\n"} {
