Name all malformed heads alike in errors

The error of a 101 response begins with "malformed response", as docs/OPERATIONS.md says and as those of the other shapes do. The comment of the package says where malformed responses are refused. TestMalformedHeads passes.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -26,7 +26,7 @@
 		return errors.Errorf("malformed response: status %q", r.Status)
 	}
 	if r.StatusCode == http.StatusSwitchingProtocols {
-		return errors.New("the response switches protocols, and the request did not ask for it")
+		return errors.New("malformed response: 101 Switching Protocols to a request without an upgrade")
 	}
 	if err := checkNames(r.Header); err != nil {
 		return err
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -5,7 +5,8 @@
 // a request was written, whether a response belongs to the request that was sent,
 // and whether bytes followed a complete response. Without them, the second response
 // of an upstream that responds twice to a request would be taken for the response to
-// the next request on the connection. Responses are parsed by net/http.
+// the next request on the connection. Responses are parsed by net/http, which takes some malformed
+// ones; CheckHead and Strict refuse them, also for clients that use http.Transport.
 package exchange
 
 import (
