Believe "not run" only in whole responses

What callers saw: 503 with not-run for an order whose upstream, or whose peer, had said so in the head of a response with a malformed trailer. Such a message is refused everywhere else as one whose request may have run. Cause: sidecar dropped the error of reading the rest of the response, and the nodes of run reported the head before they read on.

Both read the body first now, up to 16 KiB. If it breaks off or is malformed, the request may have run, and it counts as the other malformed responses do. This covers responses that are cut, too: their head came from an upstream or peer that then broke the message.

TestNotRunWithAMalformedTrailer failed before in sidecar (upstream at the node beside it and over a peer: 503 upstream-shed; peer: 503 overloaded) and in node (upstream: connection aborted; peer: 503); it passes now. TestMalformedResponseIsLogged checks that the node beside the upstream logs what is wrong; it passed before. TestMalformedHeads also wants each error to say "malformed", as docs/OPERATIONS.md does.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -25,13 +25,13 @@
 		r.Matches = nil
 		body, err := fetch(t, New(Config{Address: address, DialTimeout: time.Second}), r)
 		if strings.HasPrefix(name, "trailer,") { // it is read with the body
-			if err == nil {
-				t.Errorf("%s: got body %q and no error", name, body)
+			if err == nil || !strings.Contains(err.Error(), "malformed") {
+				t.Errorf("%s: got body %q and error %v, want one that says malformed", name, body, err)
 			}
 			continue
 		}
 		var failure *Failure
-		if !errors.As(err, &failure) || !failure.Sent {
+		if !errors.As(err, &failure) || !failure.Sent || !strings.Contains(err.Error(), "malformed") {
 			t.Errorf("%s: got body %q and error %v, want a failure of a request that was sent", name, body, err)
 		}
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -18,6 +20,10 @@
 // entry node times out without that information.
 const forwardGrace = 50 * time.Millisecond
 
+// maxHeldBody bounds the memory for the body of a response that states that the call did
+// not run, in bytes.
+const maxHeldBody = 16 << 10
+
 // attempt is one request to a peer or to the local upstream.
 type attempt struct {
 	number     int // assigned by the state machine
@@ -125,6 +131,11 @@
 	}
 	c.setCancel(cancel)
 	resp, err := a.transport.RoundTripTraced(request, tracker.gotConn(cancel))
+	if err == nil && a.statesNotRun(resp) {
+		if err = holdBody(resp); err != nil {
+			resp.Body.Close()
+		}
+	}
 	c.clearCancel()
 	if err != nil {
 		ctxErr := ctx.Err() // read before cancel, which would set it
@@ -141,6 +152,29 @@
 	c.node.Step(c.responseEvent(a, resp))
 }
 
+// statesNotRun reports whether the head of a response states that the call did not run.
+func (a *attempt) statesNotRun(resp *http.Response) bool {
+	if !a.toPeer {
+		return isShedResponse(resp)
+	}
+	refusal, ok := outcome.Parse(resp.Header)
+	return ok && refusal.Execution == outcome.NotRun
+}
+
+// holdBody reads up to maxHeldBody bytes of a body, which is then read from memory first. An error
+// means that the response breaks off or is malformed.
+func holdBody(resp *http.Response) error {
+	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBody))
+	if err != nil {
+		return err
+	}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(held), resp.Body), resp.Body}
+	return nil
+}
+
 // newRequest returns the request of an attempt, and its body if it is streamed.
 func (c *call) newRequest(ctx context.Context, a *attempt) (*http.Request, *attemptBody) {
 	body, stream := c.upload.newBody()
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"cardamomhatch/internal/engine"
 	"cardamomhatch/internal/mesh"
 	"cardamomhatch/internal/outcome"
 	"cardamomhatch/internal/standin/malformed"
@@ -26,6 +28,18 @@
 	}
 }
 
+// Guards against a malformed response being believed when its head states that the call did not run.
+func TestNotRunWithAMalformedTrailer(t *testing.T) {
+	const raw = "HTTP/1.1 503 Service Unavailable\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\nX Y: z\r\n\r\n"
+	p := startPair(t, nil, malformed.Handler(fmt.Sprintf(raw, engine.ShedHeader+": 1")))
+	requireMayHaveRun(t, "upstream", p, outcome.UpstreamFailed)
+	refusal := outcome.Refusal{Execution: outcome.NotRun, Reason: outcome.Overloaded, Node: "serving"}
+	server := httptest.NewServer(malformed.Handler(fmt.Sprintf(raw, outcome.Header+": "+refusal.HeaderValue())))
+	defer server.Close()
+	p.entry.forwardTo(mesh.Member{Node: p.serving.member.Node, PeerAddress: strings.TrimPrefix(server.URL, "http://")})
+	requireMayHaveRun(t, "peer", p, outcome.PeerLost)
+}
+
 // requireMayHaveRun sends a request and checks that it is refused as one that may have run.
 func requireMayHaveRun(t *testing.T, name string, p pair, reason outcome.Reason) {
 	t.Helper()
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -87,8 +87,12 @@
 	}
 	a.report, a.hasReport = parseReport(response.Header)
 	if refusal, ok := outcome.Parse(response.Header); ok {
-		_, _ = discardBody(response)
+		_, err := discardBody(response)
 		response.Close()
+		if err != nil { // the refusal is not whole
+			a.refusal = c.forwardRefusal(err)
+			return
+		}
 		if a.report.Evacuated && refusal.Execution == outcome.NotRun && refusal.Reason == outcome.NoUpstream {
 			refusal.Reason, refusal.Detail = outcome.Evacuated, "evacuated data centre: "+string(a.target.DataCentre)
 		}
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -116,6 +116,46 @@
 	}
 }
 
+// A malformed response must not be believed when its head states that the request did not run,
+// neither one of an upstream nor one of a peer.
+func TestNotRunWithAMalformedTrailer(t *testing.T) {
+	const raw = "HTTP/1.1 503 Service Unavailable\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\nX Y: z\r\n\r\n"
+	_, a, b, c := startSmallMesh(t)
+	upstream := malformed.Handler(fmt.Sprintf(raw, dialect.NotRun+": 1"))
+	answer := func(_ *host, w http.ResponseWriter, r *http.Request) { upstream.ServeHTTP(w, r) }
+	a.setHandler(answer)
+	b.setHandler(answer)
+	for i, entry := range []*host{a, c} {
+		requireMayHaveRun(t, "upstream", entry.call(fmt.Sprint("n", i), "POST", "/order/1", "k1", "x"))
+	}
+	refusal := outcome.Refusal{Execution: outcome.NotRun, Reason: outcome.Overloaded, Node: "a"}
+	replacePeers(t, c, malformed.Handler(fmt.Sprintf(raw, outcome.Header+": "+refusal.HeaderValue())), a, b)
+	requireMayHaveRun(t, "peer", c.call("p", "POST", "/order/1", "k1", "x"))
+}
+
+// The node beside the upstream must log what is wrong with a response.
+func TestMalformedResponseIsLogged(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	answer := func(_ *host, w http.ResponseWriter, r *http.Request) {
+		malformed.Handler("HTTP/3.7 200 OK\r\nContent-Length: 0\r\n\r\n").ServeHTTP(w, r)
+	}
+	a.setHandler(answer)
+	b.setHandler(answer)
+	for _, entry := range []*host{a, c} {
+		id := "logged-" + entry.instance
+		entry.call(id, "POST", "/order/1", "k1", "x")
+		eventually(t, "a line names the malformed response to request "+id, func() bool {
+			for _, line := range append(a.log.lines(), b.log.lines()...) {
+				detail, _ := line["detail"].(string)
+				if line["request"] == id && line["execution"] == "may-have-run" && strings.Contains(detail, "malformed response") {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 // A response that is too long to be held until its end must not look complete if its trailer is malformed.
 func TestMalformedTrailerOfALongResponse(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
@@ -135,13 +175,7 @@
 func TestMalformedResponsesOfAPeer(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
 	for name, raw := range malformed.Responses("wrong") {
-		peer := httptest.NewServer(malformed.Handler(raw))
-		defer peer.Close()
-		c.node.mu.Lock()
-		for _, h := range []*host{a, b} {
-			c.node.pools[h.node.cfg.Self.PeerAddress] = exchange.New(exchange.Config{Address: peer.Listener.Addr().String(), DialTimeout: dialTimeout})
-		}
-		c.node.mu.Unlock()
+		replacePeers(t, c, malformed.Handler(raw), a, b)
 		requireMayHaveRun(t, name, c.call(name, "POST", "/order/1", "k1", "x"))
 	}
 }
@@ -169,6 +203,18 @@
 	}
 }
 
+// replacePeers makes a node send what it forwards to the given peers to a stand-in.
+func replacePeers(t *testing.T, h *host, standin http.Handler, peers ...*host) {
+	t.Helper()
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	for _, p := range peers {
+		h.node.pools[p.node.cfg.Self.PeerAddress] = exchange.New(exchange.Config{Address: server.Listener.Addr().String(), DialTimeout: dialTimeout})
+	}
+}
+
 // brokenResponses returns how many malformed or truncated responses the nodes have counted.
 func brokenResponses(hosts ...*host) (n int64) {
 	for _, h := range hosts {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -242,7 +243,7 @@
 		return nil, n.handleUpstreamError(ctx, now, err)
 	}
 	n.recordCapacity(req, start, response)
-	return n.checkResponse(req, sentTo, response)
+	return n.checkResponse(ctx, now, req, sentTo, response)
 }
 
 // handleUpstreamError converts an error of the exchange with the upstream into a
@@ -288,8 +289,9 @@
 }
 
 // checkResponse returns the response if the upstream ran the request, and a refusal if
-// the upstream states that it did not. sentTo is the upstream that the request was sent to.
-func (n *Node) checkResponse(req *servedRequest, sentTo upstream.Announcement, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
+// the upstream states that it did not. The statement holds only if the rest of the response is whole.
+// The request was sent to the upstream sentTo at the time sentAt.
+func (n *Node) checkResponse(ctx context.Context, sentAt time.Duration, req *servedRequest, sentTo upstream.Announcement, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
 	d := &n.cfg.Dialect
 	status := response.StatusCode
 	if response.Header.Get(d.RequestID) == "" {
@@ -312,8 +314,12 @@
 		n.mu.Unlock()
 		return response, outcome.Refusal{}
 	}
-	_, _ = discardBody(response)
+	_, err := discardBody(response)
 	response.Close()
+	if err != nil {
+		timeout := errors.Is(err, os.ErrDeadlineExceeded)
+		return nil, n.handleUpstreamError(ctx, sentAt, &exchange.Failure{Sent: true, Timeout: timeout, Cause: err})
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if misdirected {
