Keep the head of a response that breaks off in force

What callers saw: an order that a full upstream had turned away got 502 instead of another upstream, when the response was cut. The cause of the rule was the malformed trailer only.

A TrailerError marks malformed trailers now, and only they make a request that the head calls not run one that may have run.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/textproto"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -64,10 +65,26 @@
 // Read implements io.Reader.
 func (b *bodyWithTrailer) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	var protocolErr textproto.ProtocolError // from the parser of the trailer
 	if err == io.EOF {
-		if trailerErr := checkNames(b.response.Trailer); trailerErr != nil {
-			err = trailerErr
+		if namesErr := checkNames(b.response.Trailer); namesErr != nil {
+			err = &TrailerError{namesErr}
 		}
+	} else if errors.As(err, &protocolErr) {
+		err = &TrailerError{err}
 	}
 	return n, err
 }
+
+// TrailerError is the error of reading a body whose trailer is malformed.
+type TrailerError struct{ cause error }
+
+// Error implements error.
+func (e *TrailerError) Error() string { return e.cause.Error() }
+
+// IsTrailerError reports whether err is or wraps a TrailerError. Other errors of reading a body mean
+// that the response broke off, which leaves its head in force.
+func IsTrailerError(err error) bool {
+	var trailerErr *TrailerError
+	return errors.As(err, &trailerErr)
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -131,8 +131,8 @@
 	}
 	c.setCancel(cancel)
 	resp, err := a.transport.RoundTripTraced(request, tracker.gotConn(cancel))
-	if err == nil && a.statesNotRun(resp) {
-		if err = holdBody(resp); err != nil {
+	if err == nil && len(resp.TransferEncoding) > 0 && a.statesNotRun(resp) {
+		if err = checkTrailer(resp); err != nil {
 			resp.Body.Close()
 		}
 	}
@@ -161,11 +161,11 @@
 	return ok && refusal.Execution == outcome.NotRun
 }
 
-// holdBody reads up to maxHeldBody bytes of a body, which is then read from memory first. An error
-// means that the response breaks off or is malformed.
-func holdBody(resp *http.Response) error {
+// checkTrailer returns an error if the trailer of a response is malformed. It reads up to maxHeldBody
+// bytes of the body, which is then read from memory first.
+func checkTrailer(resp *http.Response) error {
 	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBody))
-	if err != nil {
+	if exchange.IsTrailerError(err) {
 		return err
 	}
 	resp.Body = struct {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -89,7 +89,7 @@
 	if refusal, ok := outcome.Parse(response.Header); ok {
 		_, err := discardBody(response)
 		response.Close()
-		if err != nil { // the refusal is not whole
+		if exchange.IsTrailerError(err) {
 			a.refusal = c.forwardRefusal(err)
 			return
 		}
--- a/internal/sidecar/broken_test.go
+++ b/internal/sidecar/broken_test.go
@@ -133,6 +133,21 @@
 	requireMayHaveRun(t, "peer", c.call("p", "POST", "/order/1", "k1", "x"))
 }
 
+// The head of a response that breaks off stays in force: the order did not run and may be sent again.
+func TestNotRunInAResponseThatBreaksOff(t *testing.T) {
+	_, a, b, c := startSmallMesh(t)
+	upstream := malformed.Handler("HTTP/1.1 503 Service Unavailable\r\n" + dialect.NotRun + ": 1\r\nContent-Length: 10\r\n\r\nfull")
+	answer := func(_ *host, w http.ResponseWriter, r *http.Request) { upstream.ServeHTTP(w, r) }
+	a.setHandler(answer)
+	b.setHandler(answer)
+	for i, entry := range []*host{a, c} {
+		got := entry.call(fmt.Sprint("cut", i), "POST", "/order/1", "k1", "x")
+		if refusal, ok := outcome.Parse(got.header); got.status != http.StatusServiceUnavailable || !ok || refusal.Execution != outcome.NotRun {
+			t.Errorf("got status %d, %q, error %v, want a 503 that states that the order did not run", got.status, got.body, got.err)
+		}
+	}
+}
+
 // The node beside the upstream must log what is wrong with a response.
 func TestMalformedResponseIsLogged(t *testing.T) {
 	_, a, b, c := startSmallMesh(t)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -289,7 +288,7 @@
 }
 
 // checkResponse returns the response if the upstream ran the request, and a refusal if
-// the upstream states that it did not. The statement holds only if the rest of the response is whole.
+// the upstream states that it did not. The statement does not hold if the trailer is malformed.
 // The request was sent to the upstream sentTo at the time sentAt.
 func (n *Node) checkResponse(ctx context.Context, sentAt time.Duration, req *servedRequest, sentTo upstream.Announcement, response *exchange.Response) (*exchange.Response, outcome.Refusal) {
 	d := &n.cfg.Dialect
@@ -316,9 +315,8 @@
 	}
 	_, err := discardBody(response)
 	response.Close()
-	if err != nil {
-		timeout := errors.Is(err, os.ErrDeadlineExceeded)
-		return nil, n.handleUpstreamError(ctx, sentAt, &exchange.Failure{Sent: true, Timeout: timeout, Cause: err})
+	if exchange.IsTrailerError(err) {
+		return nil, n.handleUpstreamError(ctx, sentAt, &exchange.Failure{Sent: true, Cause: err})
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
